What sessions ask of their surroundings moves to package hosting

Cause: the users' new platform is to be met in the folder platform/, which held the interfaces and the stand-in of the session product. Change: a rename, nothing else; imports are sorted again.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,9 +25,9 @@
 
 	"yarrowgrade.example/yarrowgrade/fault"
 	"yarrowgrade.example/yarrowgrade/gang"
+	"yarrowgrade.example/yarrowgrade/hosting"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/membership"
-	"yarrowgrade.example/yarrowgrade/platform"
 	"yarrowgrade.example/yarrowgrade/request"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -55,7 +55,7 @@
 // Parts are what an agent works with.
 type Parts struct {
 	Target    request.Target
-	Platform  platform.Workers
+	Platform  hosting.Workers
 	Client    *http.Client
 	Telemetry *telemetry.Telemetry
 	// Random returns a number from 0 to n-1. It spreads retries over time.
--- a/agent/control.go
+++ b/agent/control.go
@@ -9,10 +9,10 @@
 	"github.com/sourcegraph/conc"
 
 	"yarrowgrade.example/yarrowgrade/gang"
+	"yarrowgrade.example/yarrowgrade/hosting"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/membership"
-	"yarrowgrade.example/yarrowgrade/platform"
 )
 
 // gangs is what the agent has to do with gangs, as the control goroutine published it. It is immutable.
@@ -87,7 +87,7 @@
 }
 
 func (a *Agent) newMember(ctx context.Context, wg *conc.WaitGroup, as membership.Assignment) *gang.Member {
-	spec := platform.TaskSpec{
+	spec := hosting.TaskSpec{
 		Worker: a.settings.Worker.Name, Session: as.Session, Token: as.Token,
 		Accelerators: as.Accelerators, Work: as.Work, Checkpoint: as.Checkpoint,
 	}
--- a/agent/fuzz_test.go
+++ b/agent/fuzz_test.go
@@ -13,9 +13,9 @@
 	"github.com/sourcegraph/conc"
 
 	"yarrowgrade.example/yarrowgrade/gang"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/membership"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
--- a/cmd/yarrowgraded/agent.go
+++ b/cmd/yarrowgraded/agent.go
@@ -14,8 +14,8 @@
 	"yarrowgrade.example/yarrowgrade/agent"
 	"yarrowgrade.example/yarrowgrade/fault"
 	"yarrowgrade.example/yarrowgrade/gang"
+	"yarrowgrade.example/yarrowgrade/hosting"
 	"yarrowgrade.example/yarrowgrade/ledger"
-	"yarrowgrade.example/yarrowgrade/platform"
 	"yarrowgrade.example/yarrowgrade/request"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -122,7 +122,7 @@
 	client := newClient(t)
 	a := agent.New(settings, agent.Parts{
 		Target:   request.NewHTTPTarget(c.Target, c.Connections, t.Transport),
-		Platform: platform.NewClient(c.Platform, client), Client: client, Telemetry: t, Random: rand.IntN,
+		Platform: hosting.NewClient(c.Platform, client), Client: client, Telemetry: t, Random: rand.IntN,
 	})
 	return role{
 		name: "agent", listen: c.Listen, address: c.Address, handler: a.Handler(), run: a.Run, leave: a.Leave,
--- a/cmd/yarrowgraded/dev.go
+++ b/cmd/yarrowgraded/dev.go
@@ -16,9 +16,9 @@
 	"yarrowgrade.example/yarrowgrade/client"
 	"yarrowgrade.example/yarrowgrade/entry"
 	"yarrowgrade.example/yarrowgrade/gang"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/placement"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
--- a/cmd/yarrowgraded/entry.go
+++ b/cmd/yarrowgraded/entry.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/entry"
-	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/hosting"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
 
@@ -68,7 +68,7 @@
 		return err
 	}
 	client := newClient(t)
-	e := entry.New(settings, entry.Parts{Platform: platform.NewClient(c.Platform, client), Client: client, Telemetry: t, Random: rand.IntN})
+	e := entry.New(settings, entry.Parts{Platform: hosting.NewClient(c.Platform, client), Client: client, Telemetry: t, Random: rand.IntN})
 	return role{
 		name: "entry", listen: c.Listen, address: c.Address, handler: e.Handler(), run: e.Run,
 		leave: func(ctx context.Context) error {
--- a/e2e/capacity_agent_test.go
+++ b/e2e/capacity_agent_test.go
@@ -13,10 +13,10 @@
 	"yarrowgrade.example/yarrowgrade/agent"
 	"yarrowgrade.example/yarrowgrade/client"
 	"yarrowgrade.example/yarrowgrade/gang"
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/placement"
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -105,7 +105,7 @@
 	})
 	b.Run("claim-in-log", func(b *testing.B) {
 		// What a claim in the log would add at least: one append that is read back. The stand-in's log has no delay.
-		log := platform.NewClient(c.platformURL, http.DefaultClient)
+		log := hosting.NewClient(c.platformURL, http.DefaultClient)
 		for b.Loop() {
 			offset, err := log.Append(context.Background(), "claims", []byte("x"))
 			if err != nil {
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -18,10 +18,10 @@
 	"yarrowgrade.example/yarrowgrade/agent"
 	"yarrowgrade.example/yarrowgrade/client"
 	"yarrowgrade.example/yarrowgrade/gang"
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/placement"
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
 
@@ -203,7 +203,7 @@
 
 // records is the number of records in the log.
 func (s *swarm) records() int64 {
-	batch, err := s.platform.Read(context.Background(), platform.LedgerStream, 1, 1, 0)
+	batch, err := s.platform.Read(context.Background(), hosting.LedgerStream, 1, 1, 0)
 	if err != nil {
 		s.b.Fatal(err)
 	}
@@ -262,7 +262,7 @@
 func (s *swarm) runs(worker string, token int64) bool {
 	tasks, _ := s.platform.Tasks(context.Background(), worker)
 	for _, t := range tasks {
-		if t.Token == token && t.State == platform.TaskRunning {
+		if t.Token == token && t.State == hosting.TaskRunning {
 			return true
 		}
 	}
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -18,9 +18,9 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/client"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/placement"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 )
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,9 +28,9 @@
 	"github.com/sourcegraph/conc"
 
 	"yarrowgrade.example/yarrowgrade/fault"
+	"yarrowgrade.example/yarrowgrade/hosting"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/membership"
-	"yarrowgrade.example/yarrowgrade/platform"
 	"yarrowgrade.example/yarrowgrade/policy"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -84,7 +84,7 @@
 
 // Parts are what an entry works with.
 type Parts struct {
-	Platform  platform.Platform
+	Platform  hosting.Platform
 	Client    *http.Client
 	Telemetry *telemetry.Telemetry
 	// Random returns a number from 0 to n-1. It spreads requests over agents.
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -11,9 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 	"yarrowgrade.example/yarrowgrade/ledger"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -10,10 +10,10 @@
 
 	"github.com/sourcegraph/conc"
 
+	"yarrowgrade.example/yarrowgrade/hosting"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/membership"
-	"yarrowgrade.example/yarrowgrade/platform"
 )
 
 // Settings of the peers.
@@ -73,7 +73,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for _, b := range boxes {
-		if b.Role != platform.EntryBox || b.State != platform.BoxLive || b.Address == ps.settings.Address {
+		if b.Role != hosting.EntryBox || b.State != hosting.BoxLive || b.Address == ps.settings.Address {
 			continue
 		}
 		if _, found := ps.byURL[b.Address]; !found {
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -8,15 +8,15 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
 
 // silentBoxes is a platform whose list of boxes gives no answer.
-type silentBoxes struct{ platform.Platform }
+type silentBoxes struct{ hosting.Platform }
 
-func (silentBoxes) Boxes(ctx context.Context) ([]platform.Box, error) {
+func (silentBoxes) Boxes(ctx context.Context) ([]hosting.Box, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
--- a/entry/polls_test.go
+++ b/entry/polls_test.go
@@ -6,10 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/membership"
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
 
@@ -36,7 +36,7 @@
 				data, _ := ledger.Record{ID: "join", Join: &ledger.JoinWorker{Worker: ledger.Worker{
 					Name: "w", Zone: "z", Rack: "r", Address: "http://w", Incarnation: "one", Slots: 1,
 				}}}.Encode()
-				e.replica.Apply([]platform.Record{{Offset: 1, Data: data}})
+				e.replica.Apply([]hosting.Record{{Offset: 1, Data: data}})
 				e.ready.Store(true)
 				e.log.Store(&logHealth{reachable: tt.own, good: time.Now()})
 				e.peers.byURL["http://b"] = peer{info: peerInfo, seen: time.Now(), logReachable: tt.other}
--- a/entry/router_test.go
+++ b/entry/router_test.go
@@ -10,10 +10,10 @@
 	"sync"
 	"testing"
 
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 	"yarrowgrade.example/yarrowgrade/ledger"
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -37,14 +37,14 @@
 	})
 	calls := make([]int, len(agents))
 	var mu sync.Mutex
-	var records []platform.Record
+	var records []hosting.Record
 	add := func(r ledger.Record) {
 		r.ID = fmt.Sprint(len(records))
 		data, err := r.Encode()
 		if err != nil {
 			t.Fatal(err)
 		}
-		records = append(records, platform.Record{Offset: int64(len(records) + 1), Data: data})
+		records = append(records, hosting.Record{Offset: int64(len(records) + 1), Data: data})
 	}
 	for i, agent := range agents {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -188,7 +188,7 @@
 		w, _ := e.replica.State().Worker("w1")
 		w.Region, w.Leaving = "north", false
 		data, _ := ledger.Record{ID: "moved", Join: &ledger.JoinWorker{Worker: w}}.Encode()
-		e.replica.Apply([]platform.Record{{Offset: e.replica.State().Revision() + 1, Data: data}})
+		e.replica.Apply([]hosting.Record{{Offset: e.replica.State().Revision() + 1, Data: data}})
 		if answer := e.router.route(t.Context(), request.Call{Service: "s", Team: "a", DeadlineMillis: 5000}); answer.Outcome != request.Done {
 			t.Errorf("got %+v", answer)
 		}
--- a/gang/gang_test.go
+++ b/gang/gang_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 )
 
 const testToken = 7
@@ -71,7 +71,7 @@
 
 // frozenWorkers delays every call of one member while it is frozen, as a stopped process would.
 type frozenWorkers struct {
-	platform.Workers
+	hosting.Workers
 	mu     sync.Mutex
 	thawed chan struct{}
 	down   bool
@@ -112,7 +112,7 @@
 	return nil
 }
 
-func (f *frozenWorkers) StartTask(ctx context.Context, s platform.TaskSpec) error {
+func (f *frozenWorkers) StartTask(ctx context.Context, s hosting.TaskSpec) error {
 	if err := f.wait(); err != nil {
 		return err
 	}
@@ -134,7 +134,7 @@
 	for i := range 3 {
 		link := &testLink{leader: g.leader}
 		workers := &frozenWorkers{Workers: g.platform}
-		spec := platform.TaskSpec{Worker: workerName(i), Session: "s", Token: testToken, Accelerators: []int{0, 1}, Work: work}
+		spec := hosting.TaskSpec{Worker: workerName(i), Session: "s", Token: testToken, Accelerators: []int{0, 1}, Work: work}
 		m := NewMember(spec, link, workers, DefaultTiming(), func() {}, func(ctx context.Context) context.Context { return ctx })
 		g.members, g.links, g.frozen = append(g.members, m), append(g.links, link), append(g.frozen, workers)
 		wg.Go(func() { m.Run(ctx) })
@@ -156,7 +156,7 @@
 	for i := range g.members {
 		tasks, _ := g.platform.Tasks(context.Background(), workerName(i))
 		for _, task := range tasks {
-			if task.State == platform.TaskRunning {
+			if task.State == hosting.TaskRunning {
 				n++
 			}
 		}
@@ -301,11 +301,11 @@
 func TestLateStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := standin.New()
-		spec := platform.TaskSpec{Worker: "w", Token: 5, Accelerators: []int{0}, Lease: time.Minute}
+		spec := hosting.TaskSpec{Worker: "w", Token: 5, Accelerators: []int{0}, Lease: time.Minute}
 		if err := p.StopTask(t.Context(), "w", 5); err != nil {
 			t.Fatal(err)
 		}
-		if err := p.StartTask(t.Context(), spec); !errors.Is(err, platform.ErrFenced) {
+		if err := p.StartTask(t.Context(), spec); !errors.Is(err, hosting.ErrFenced) {
 			t.Errorf("a start after the stop: %v, want fenced", err)
 		}
 		spec.Token = 9
@@ -316,7 +316,7 @@
 			t.Fatal(err)
 		}
 		spec.Token = 8
-		if err := p.StartTask(t.Context(), spec); !errors.Is(err, platform.ErrFenced) {
+		if err := p.StartTask(t.Context(), spec); !errors.Is(err, hosting.ErrFenced) {
 			t.Errorf("a start with an older token: %v, want fenced", err)
 		}
 	})
--- a/gang/member.go
+++ b/gang/member.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/hosting"
 )
 
 // Pauses between tries.
@@ -30,9 +30,9 @@
 
 // Member is one member of a placement on its own worker.
 type Member struct {
-	spec    platform.TaskSpec
+	spec    hosting.TaskSpec
 	link    Link
-	workers platform.Workers
+	workers hosting.Workers
 	timing  Timing
 
 	// saved is when the last checkpoint was begun. Only Run's goroutine uses it; saving says that one is under way.
@@ -57,7 +57,7 @@
 
 // NewMember returns a member that runs the task described by spec; its Lease is set for each renewal. changed is called
 // after each change of status, and must not block. inTrace returns a context within the trace of the session's creation.
-func NewMember(spec platform.TaskSpec, link Link, workers platform.Workers, timing Timing, changed func(), inTrace func(context.Context) context.Context) *Member {
+func NewMember(spec hosting.TaskSpec, link Link, workers hosting.Workers, timing Timing, changed func(), inTrace func(context.Context) context.Context) *Member {
 	return &Member{
 		spec: spec, link: link, workers: workers, timing: timing,
 		stopAsked: make(chan struct{}), status: Preparing, changed: changed, inTrace: inTrace,
@@ -136,13 +136,13 @@
 	return false
 }
 
-func (m *Member) overlaps(tasks []platform.Task) bool {
+func (m *Member) overlaps(tasks []hosting.Task) bool {
 	mine := make(map[int]bool)
 	for _, a := range m.spec.Accelerators {
 		mine[a] = true
 	}
 	for _, t := range tasks {
-		if t.State != platform.TaskRunning {
+		if t.State != hosting.TaskRunning {
 			continue
 		}
 		for _, a := range t.Accelerators {
@@ -254,9 +254,9 @@
 	case err == nil:
 		m.heldUntil = asked.Add(left)
 		return true
-	case errors.Is(err, platform.ErrGone):
+	case errors.Is(err, hosting.ErrGone):
 		return false
-	case errors.Is(err, platform.ErrNoTask):
+	case errors.Is(err, hosting.ErrNoTask):
 		return m.isFinished(ctx)
 	}
 	return m.held()
@@ -273,7 +273,7 @@
 		return m.held()
 	}
 	for _, t := range tasks {
-		if t.Token == m.spec.Token && t.State == platform.TaskFinished {
+		if t.Token == m.spec.Token && t.State == hosting.TaskFinished {
 			m.setProgress(t.Progress)
 			m.setStatus(Finished)
 			return true
@@ -287,7 +287,7 @@
 	m.checkpoint(ctx, lastCheckpoint)
 	for ctx.Err() == nil {
 		err := m.workers.StopTask(ctx, m.spec.Worker, m.spec.Token)
-		if err == nil || errors.Is(err, platform.ErrNoTask) || errors.Is(err, platform.ErrGone) {
+		if err == nil || errors.Is(err, hosting.ErrNoTask) || errors.Is(err, hosting.ErrGone) {
 			m.setStatus(Stopped)
 			return
 		}
--- a/platform/client.go
+++ b/hosting/client.go
@@ -1,4 +1,4 @@
-package platform
+package hosting
 
 import (
 	"context"
@@ -58,7 +58,7 @@
 // Boxes implements Boxes.
 func (c *Client) Boxes(ctx context.Context) ([]Box, error) {
 	var boxes []Box
-	err := c.call(ctx, "platform.Boxes", http.MethodGet, "/boxes", nil, &boxes)
+	err := c.call(ctx, "hosting.Boxes", http.MethodGet, "/boxes", nil, &boxes)
 	return boxes, err
 }
 
@@ -92,7 +92,7 @@
 // Tasks implements Workers.
 func (c *Client) Tasks(ctx context.Context, worker string) ([]Task, error) {
 	var tasks []Task
-	err := c.call(ctx, "platform.Tasks", http.MethodGet, "/workers/"+url.PathEscape(worker)+"/tasks", nil, &tasks)
+	err := c.call(ctx, "hosting.Tasks", http.MethodGet, "/workers/"+url.PathEscape(worker)+"/tasks", nil, &tasks)
 	return tasks, err
 }
 
--- a/platform/platform.go
+++ b/hosting/platform.go
@@ -1,4 +1,4 @@
-// Package platform describes what yarrowgrade asks of the platform it runs on: an append-only log, a list of boxes,
+// Package hosting describes what yarrowgrade asks of the platform it runs on: an append-only log, a list of boxes,
 // and workers that run tasks under leases.
 //
 // The interfaces are small on purpose. The users' real services, or their bench, are met by one more implementation of
@@ -6,11 +6,11 @@
 //
 // # Usage
 //
-//	p := platform.NewClient("http://127.0.0.1:7400", http.DefaultClient)
-//	offset, err := p.Append(ctx, platform.LedgerStream, data)
+//	p := hosting.NewClient("http://127.0.0.1:7400", http.DefaultClient)
+//	offset, err := p.Append(ctx, hosting.LedgerStream, data)
 //
 // An error of Append does not say that the record was not appended: its answer may have been lost after the effect.
-package platform
+package hosting
 
 import (
 	"context"
--- a/platform/standin/handler.go
+++ b/hosting/standin/handler.go
@@ -10,14 +10,14 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"yarrowgrade.example/yarrowgrade/hosting"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
-	"yarrowgrade.example/yarrowgrade/platform"
 )
 
 // maxRecordBytes bounds one record of the log.
 const maxRecordBytes = 1 << 20
 
-// Handler serves p over HTTP in the form that platform.Client speaks.
+// Handler serves p over HTTP in the form that hosting.Client speaks.
 func Handler(p *Platform) http.Handler {
 	r := httprouter.New()
 	r.POST("/log/:stream", p.serveAppend)
@@ -41,7 +41,7 @@
 	})
 	r.POST("/workers/:worker/tasks/:token/checkpoint", func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 		progress, err := p.CheckpointTask(r.Context(), ps.ByName("worker"), number(ps.ByName("token")))
-		answer(w, platform.CheckpointAnswer{Progress: progress}, err)
+		answer(w, hosting.CheckpointAnswer{Progress: progress}, err)
 	})
 	r.DELETE("/workers/:worker/tasks/:token", func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 		answer(w, struct{}{}, p.StopTask(r.Context(), ps.ByName("worker"), number(ps.ByName("token"))))
@@ -56,7 +56,7 @@
 		return
 	}
 	offset, err := p.Append(r.Context(), ps.ByName("stream"), data)
-	answer(w, platform.AppendAnswer{Offset: offset}, err)
+	answer(w, hosting.AppendAnswer{Offset: offset}, err)
 }
 
 func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
@@ -67,7 +67,7 @@
 }
 
 func (p *Platform) serveStart(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var spec platform.TaskSpec
+	var spec hosting.TaskSpec
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRecordBytes)).Decode(&spec); err != nil {
 		answer(w, nil, err)
 		return
--- a/platform/standin/standin.go
+++ b/hosting/standin/standin.go
@@ -19,7 +19,7 @@
 	"sync"
 	"time"
 
-	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/hosting"
 )
 
 // Errors of the faults.
@@ -48,8 +48,8 @@
 }
 
 type task struct {
-	platform.Task
-	spec       platform.TaskSpec
+	hosting.Task
+	spec       hosting.TaskSpec
 	started    time.Time
 	expires    time.Time
 	checkpoint time.Duration
@@ -62,12 +62,12 @@
 	barred map[int64]bool
 }
 
-// Platform is an in-memory platform.Platform.
+// Platform is an in-memory hosting.Platform.
 type Platform struct {
 	mu      sync.Mutex
 	faults  Faults
 	streams map[string]*stream
-	boxes   map[string]platform.Box
+	boxes   map[string]hosting.Box
 	workers map[string]*worker
 	changed chan struct{}
 }
@@ -76,7 +76,7 @@
 func New() *Platform {
 	return &Platform{
 		streams: make(map[string]*stream),
-		boxes:   make(map[string]platform.Box),
+		boxes:   make(map[string]hosting.Box),
 		workers: make(map[string]*worker),
 		changed: make(chan struct{}),
 	}
@@ -91,7 +91,7 @@
 }
 
 // SetBox adds or replaces a line of the list of boxes.
-func (p *Platform) SetBox(b platform.Box) {
+func (p *Platform) SetBox(b hosting.Box) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.boxes[b.Name] = b
@@ -128,7 +128,7 @@
 	return s
 }
 
-// Append implements platform.Log.
+// Append implements hosting.Log.
 func (p *Platform) Append(ctx context.Context, name string, data []byte) (int64, error) {
 	if err := p.delay(ctx); err != nil {
 		return 0, err
@@ -169,8 +169,8 @@
 	}
 }
 
-// Read implements platform.Log.
-func (p *Platform) Read(ctx context.Context, name string, offset int64, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements hosting.Log.
+func (p *Platform) Read(ctx context.Context, name string, offset int64, limit int, wait time.Duration) (hosting.Batch, error) {
 	deadline := time.Now().Add(wait)
 	for {
 		batch, changed, err := p.read(name, offset, limit)
@@ -187,38 +187,38 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return platform.Batch{}, ctx.Err()
+			return hosting.Batch{}, ctx.Err()
 		}
 		timer.Stop()
 	}
 }
 
-func (p *Platform) read(name string, offset int64, limit int) (platform.Batch, chan struct{}, error) {
+func (p *Platform) read(name string, offset int64, limit int) (hosting.Batch, chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.Down {
-		return platform.Batch{}, nil, ErrDown
+		return hosting.Batch{}, nil, ErrDown
 	}
 	s := p.stream(name)
 	next := s.first + int64(len(s.records))
-	batch := platform.Batch{Oldest: s.first, Next: next}
+	batch := hosting.Batch{Oldest: s.first, Next: next}
 	if offset == 0 {
 		offset = s.first
 	}
 	if offset < s.first {
-		return batch, nil, platform.ErrExpired
+		return batch, nil, hosting.ErrExpired
 	}
 	for o := offset; o < next && len(batch.Records) < limit; o++ {
-		batch.Records = append(batch.Records, platform.Record{Offset: o, Data: s.records[o-s.first]})
+		batch.Records = append(batch.Records, hosting.Record{Offset: o, Data: s.records[o-s.first]})
 	}
 	return batch, p.changed, nil
 }
 
-// Boxes implements platform.Boxes.
-func (p *Platform) Boxes(context.Context) ([]platform.Box, error) {
+// Boxes implements hosting.Boxes.
+func (p *Platform) Boxes(context.Context) ([]hosting.Box, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	boxes := make([]platform.Box, 0, len(p.boxes))
+	boxes := make([]hosting.Box, 0, len(p.boxes))
 	for _, b := range p.boxes {
 		boxes = append(boxes, b)
 	}
--- a/platform/standin/workers.go
+++ b/hosting/standin/workers.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/hosting"
 )
 
 func (p *Platform) worker(name string) *worker {
@@ -20,19 +20,19 @@
 
 // settle moves a task whose work is done or whose lease ran out to its end state.
 func (t *task) settle(now time.Time) {
-	if t.State != platform.TaskRunning {
+	if t.State != hosting.TaskRunning {
 		return
 	}
 	end := now
 	if t.spec.Work > 0 {
 		done := t.started.Add(t.spec.Work - t.spec.Checkpoint)
 		if !done.After(now) && !done.After(t.expires) {
-			t.State = platform.TaskFinished
+			t.State = hosting.TaskFinished
 			end = done
 		}
 	}
-	if t.State == platform.TaskRunning && !t.expires.After(now) {
-		t.State = platform.TaskLapsed
+	if t.State == hosting.TaskRunning && !t.expires.After(now) {
+		t.State = hosting.TaskLapsed
 		end = t.expires
 	}
 	t.Progress = t.spec.Checkpoint + end.Sub(t.started)
@@ -41,7 +41,7 @@
 func (p *Platform) liveWorker(name string) (*worker, error) {
 	w := p.worker(name)
 	if w.gone {
-		return nil, platform.ErrGone
+		return nil, hosting.ErrGone
 	}
 	now := time.Now()
 	for _, t := range w.tasks {
@@ -50,8 +50,8 @@
 	return w, nil
 }
 
-// StartTask implements platform.Workers.
-func (p *Platform) StartTask(_ context.Context, spec platform.TaskSpec) error {
+// StartTask implements hosting.Workers.
+func (p *Platform) StartTask(_ context.Context, spec hosting.TaskSpec) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, err := p.liveWorker(spec.Worker)
@@ -62,16 +62,16 @@
 		return nil
 	}
 	if w.barred[spec.Token] {
-		return platform.ErrFenced
+		return hosting.ErrFenced
 	}
 	for _, a := range spec.Accelerators {
 		if w.fences[a] > spec.Token {
-			return platform.ErrFenced
+			return hosting.ErrFenced
 		}
 	}
 	for _, t := range w.tasks {
-		if t.State == platform.TaskRunning && slices.ContainsFunc(t.Accelerators, func(a int) bool { return slices.Contains(spec.Accelerators, a) }) {
-			return platform.ErrBusy
+		if t.State == hosting.TaskRunning && slices.ContainsFunc(t.Accelerators, func(a int) bool { return slices.Contains(spec.Accelerators, a) }) {
+			return hosting.ErrBusy
 		}
 	}
 	for _, a := range spec.Accelerators {
@@ -79,7 +79,7 @@
 	}
 	now := time.Now()
 	w.tasks[spec.Token] = &task{
-		Task:       platform.Task{Session: spec.Session, Token: spec.Token, Accelerators: spec.Accelerators, State: platform.TaskRunning},
+		Task:       hosting.Task{Session: spec.Session, Token: spec.Token, Accelerators: spec.Accelerators, State: hosting.TaskRunning},
 		spec:       spec,
 		started:    now,
 		expires:    now.Add(spec.Lease),
@@ -94,13 +94,13 @@
 		return nil, err
 	}
 	t, found := w.tasks[token]
-	if !found || t.State != platform.TaskRunning {
-		return nil, platform.ErrNoTask
+	if !found || t.State != hosting.TaskRunning {
+		return nil, hosting.ErrNoTask
 	}
 	return t, nil
 }
 
-// RenewTask implements platform.Workers.
+// RenewTask implements hosting.Workers.
 func (p *Platform) RenewTask(_ context.Context, name string, token int64, lease time.Duration) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,7 +114,7 @@
 	return nil
 }
 
-// CheckpointTask implements platform.Workers.
+// CheckpointTask implements hosting.Workers.
 func (p *Platform) CheckpointTask(_ context.Context, name string, token int64) (time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,7 +126,7 @@
 	return t.checkpoint, nil
 }
 
-// StopTask implements platform.Workers.
+// StopTask implements hosting.Workers.
 func (p *Platform) StopTask(_ context.Context, name string, token int64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,8 +139,8 @@
 	return nil
 }
 
-// Tasks implements platform.Workers.
-func (p *Platform) Tasks(_ context.Context, name string) ([]platform.Task, error) {
+// Tasks implements hosting.Workers.
+func (p *Platform) Tasks(_ context.Context, name string) ([]hosting.Task, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, err := p.liveWorker(name)
@@ -148,10 +148,10 @@
 		return nil, err
 	}
 	now := time.Now()
-	tasks := make([]platform.Task, 0, len(w.tasks))
+	tasks := make([]hosting.Task, 0, len(w.tasks))
 	for _, t := range w.tasks {
 		view := t.Task
-		if view.State == platform.TaskRunning {
+		if view.State == hosting.TaskRunning {
 			view.Progress = t.spec.Checkpoint + now.Sub(t.started)
 		}
 		tasks = append(tasks, view)
@@ -160,7 +160,7 @@
 	return tasks, nil
 }
 
-// GoneWorkers implements platform.Workers.
+// GoneWorkers implements hosting.Workers.
 func (p *Platform) GoneWorkers(context.Context) ([]string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/hosting"
 )
 
 // Settings of the follower.
@@ -32,7 +32,7 @@
 // Update is something for the goroutine that owns the replica to take in.
 type Update struct {
 	// Records are the next records of the log.
-	Records []platform.Record
+	Records []hosting.Record
 	// State is a whole state from a snapshot or from a peer, if not nil.
 	State *State
 	// FromPeer says that State came from a process that is running, so that it is as new as that one's.
@@ -45,14 +45,14 @@
 
 // Follower reads the log for one replica. It never guesses: where records are missing it asks for a whole state.
 type Follower struct {
-	log   platform.Log
+	log   hosting.Log
 	peers PeerStates
 	// next is the offset to read next. Only Run's goroutine uses it.
 	next int64
 }
 
 // NewFollower returns a follower that starts from the newest snapshot.
-func NewFollower(log platform.Log, peers PeerStates) *Follower {
+func NewFollower(log hosting.Log, peers PeerStates) *Follower {
 	return &Follower{log: log, peers: peers, next: 1}
 }
 
@@ -80,10 +80,10 @@
 	}
 }
 
-func (f *Follower) read(ctx context.Context, wait time.Duration) (platform.Batch, error) {
+func (f *Follower) read(ctx context.Context, wait time.Duration) (hosting.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
-	return f.log.Read(ctx, platform.LedgerStream, f.next, readLimit, wait)
+	return f.log.Read(ctx, hosting.LedgerStream, f.next, readLimit, wait)
 }
 
 // start jumps to the newest snapshot, if there is one, before the first read.
@@ -106,7 +106,7 @@
 // recover handles a failed read: expired records need a snapshot, and whatever failed a peer may know more.
 func (f *Follower) recover(ctx context.Context, out chan<- Update, err error) {
 	send(ctx, out, Update{Err: err})
-	if errors.Is(err, platform.ErrExpired) {
+	if errors.Is(err, hosting.ErrExpired) {
 		f.start(ctx, out)
 	}
 	if s, found := f.peers.NewerState(ctx, f.next-1); found {
--- a/ledger/proposer.go
+++ b/ledger/proposer.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"yarrowgrade.example/yarrowgrade/fault"
-	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/hosting"
 )
 
 // Settings of the proposer.
@@ -26,13 +26,13 @@
 
 // Proposer appends records and waits for their verdicts.
 type Proposer struct {
-	log     platform.Log
+	log     hosting.Log
 	replica *Replica
 	newID   func() string
 }
 
 // NewProposer returns a proposer that names its records with random ids.
-func NewProposer(log platform.Log, replica *Replica) *Proposer {
+func NewProposer(log hosting.Log, replica *Replica) *Proposer {
 	return &Proposer{log: log, replica: replica, newID: uuid.NewString}
 }
 
@@ -65,7 +65,7 @@
 func (p *Proposer) tryAppend(ctx context.Context, id string, data []byte) (Verdict, bool) {
 	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := p.log.Append(bounded, platform.LedgerStream, data)
+	_, err := p.log.Append(bounded, hosting.LedgerStream, data)
 	if err == nil {
 		return p.await(ctx, id)
 	}
@@ -99,5 +99,5 @@
 			return v, nil
 		}
 	}
-	return Verdict{}, fault.New("ledger.Propose", platform.LedgerStream, ErrUnsettled)
+	return Verdict{}, fault.New("ledger.Propose", hosting.LedgerStream, ErrUnsettled)
 }
--- a/ledger/proposer_test.go
+++ b/ledger/proposer_test.go
@@ -8,9 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/placement"
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 )
 
 // noPeers is a process that runs alone.
@@ -19,7 +19,7 @@
 func (noPeers) NewerState(context.Context, int64) (State, bool) { return State{}, false }
 
 // follow keeps a replica up to date until ctx ends.
-func follow(ctx context.Context, wg *sync.WaitGroup, log platform.Log, peers PeerStates) *Replica {
+func follow(ctx context.Context, wg *sync.WaitGroup, log hosting.Log, peers PeerStates) *Replica {
 	r := NewReplica()
 	updates := make(chan Update)
 	wg.Go(func() { NewFollower(log, peers).Run(ctx, updates) })
@@ -153,7 +153,7 @@
 			t.Errorf("the slow reader is at %d, the other at %d", slow.State().Revision(), fast.State().Revision())
 		}
 		// A torn snapshot must not hide the whole one before it.
-		if _, err := log.Append(ctx, platform.SnapshotStream, []byte(`{"writer":"x","revision":999,"index":0,"total":2,"data":""}`)); err != nil {
+		if _, err := log.Append(ctx, hosting.SnapshotStream, []byte(`{"writer":"x","revision":999,"index":0,"total":2,"data":""}`)); err != nil {
 			t.Fatal(err)
 		}
 		if s, err := ReadSnapshot(ctx, log); err != nil || s.Revision() != 41 {
@@ -214,7 +214,7 @@
 
 // switchedLog is a log that one process can be cut off from.
 type switchedLog struct {
-	platform.Log
+	hosting.Log
 	mu     sync.Mutex
 	off    bool
 	silent bool
@@ -233,16 +233,16 @@
 	l.off = off
 }
 
-func (l *switchedLog) Read(ctx context.Context, stream string, offset int64, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *switchedLog) Read(ctx context.Context, stream string, offset int64, limit int, wait time.Duration) (hosting.Batch, error) {
 	l.mu.Lock()
 	off, silent := l.off, l.silent
 	l.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return platform.Batch{}, ctx.Err()
+		return hosting.Batch{}, ctx.Err()
 	}
 	if off {
-		return platform.Batch{}, standin.ErrDown
+		return hosting.Batch{}, standin.ErrDown
 	}
 	return l.Log.Read(ctx, stream, offset, limit, wait)
 }
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -6,7 +6,7 @@
 	"slices"
 	"sync"
 
-	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/hosting"
 )
 
 // Replica holds a process's newest state. One goroutine calls Apply and Replace; any may read.
@@ -52,7 +52,7 @@
 
 // Apply folds records in and returns their verdicts. Records that are not newer than the state are passed over, and a
 // gap ends the call: the state never skips a record and never goes back.
-func (r *Replica) Apply(records []platform.Record) []Verdict {
+func (r *Replica) Apply(records []hosting.Record) []Verdict {
 	state := r.State()
 	var verdicts []Verdict
 	var touched []string
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -13,7 +13,7 @@
 	"github.com/benbjohnson/immutable"
 
 	"yarrowgrade.example/yarrowgrade/fault"
-	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/hosting"
 )
 
 // chunkBytes is the size of one record of a snapshot. The platform takes some hundred appends a second; a state of
@@ -132,7 +132,7 @@
 
 // WriteSnapshot appends the whole state to the snapshot stream, in chunks. A snapshot that is cut short is ignored by
 // readers, and so is a chunk that was appended twice.
-func WriteSnapshot(ctx context.Context, log platform.Log, writer string, s State) error {
+func WriteSnapshot(ctx context.Context, log hosting.Log, writer string, s State) error {
 	data, err := EncodeState(s)
 	if err != nil {
 		return err
@@ -144,8 +144,8 @@
 		if err != nil {
 			return fmt.Errorf("ledger.WriteSnapshot: %w", err)
 		}
-		if _, err := log.Append(ctx, platform.SnapshotStream, record); err != nil {
-			return fault.New("ledger.WriteSnapshot", platform.SnapshotStream, err)
+		if _, err := log.Append(ctx, hosting.SnapshotStream, record); err != nil {
+			return fault.New("ledger.WriteSnapshot", hosting.SnapshotStream, err)
 		}
 	}
 	return nil
@@ -161,14 +161,14 @@
 var errNoSnapshot = errors.New("no whole snapshot")
 
 // ReadSnapshot returns the newest whole snapshot of the stream.
-func ReadSnapshot(ctx context.Context, log platform.Log) (State, error) {
+func ReadSnapshot(ctx context.Context, log hosting.Log) (State, error) {
 	parts := make(map[snapshotKey]map[int][]byte)
 	var newest State
 	found := false
 	for offset := int64(0); ; {
-		batch, err := log.Read(ctx, platform.SnapshotStream, offset, readLimit, 0)
+		batch, err := log.Read(ctx, hosting.SnapshotStream, offset, readLimit, 0)
 		if err != nil {
-			return State{}, fault.New("ledger.ReadSnapshot", platform.SnapshotStream, err)
+			return State{}, fault.New("ledger.ReadSnapshot", hosting.SnapshotStream, err)
 		}
 		for _, r := range batch.Records {
 			offset = r.Offset + 1
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -11,8 +11,8 @@
 
 	"pgregory.net/rapid"
 
+	"yarrowgrade.example/yarrowgrade/hosting"
 	"yarrowgrade.example/yarrowgrade/placement"
-	"yarrowgrade.example/yarrowgrade/platform"
 )
 
 // history folds records one after the other, as a log would hold them.
@@ -295,18 +295,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	at := func(offset int64) platform.Record { return platform.Record{Offset: offset, Data: data} }
+	at := func(offset int64) hosting.Record { return hosting.Record{Offset: offset, Data: data} }
 	r := NewReplica()
 	r.Replace(h.state)
 	base := h.state.Revision()
 	for _, tt := range []struct {
-		records []platform.Record
+		records []hosting.Record
 		want    int64
 	}{
-		{[]platform.Record{at(base + 2)}, base},
-		{[]platform.Record{at(base), at(base + 1), at(base + 3)}, base + 1},
-		{[]platform.Record{at(base), at(base + 1)}, base + 1},
-		{[]platform.Record{at(base + 1), at(base + 2), at(base + 3)}, base + 3},
+		{[]hosting.Record{at(base + 2)}, base},
+		{[]hosting.Record{at(base), at(base + 1), at(base + 3)}, base + 1},
+		{[]hosting.Record{at(base), at(base + 1)}, base + 1},
+		{[]hosting.Record{at(base + 1), at(base + 2), at(base + 3)}, base + 3},
 	} {
 		r.Apply(tt.records)
 		if got := r.State().Revision(); got != tt.want {
@@ -340,7 +340,7 @@
 		tt.record.ID, tt.record.Base = tt.name, h.state.Revision()
 		data, _ := tt.record.Encode()
 		h.raw(data)
-		r.Apply([]platform.Record{{Offset: h.state.Revision(), Data: data}})
+		r.Apply([]hosting.Record{{Offset: h.state.Revision(), Data: data}})
 		if woken(changed) != tt.woken {
 			t.Errorf("%s: woken is %v, want %v", tt.name, !tt.woken, tt.woken)
 		}
--- a/oracle/plan_test.go
+++ b/oracle/plan_test.go
@@ -10,10 +10,10 @@
 
 	"pgregory.net/rapid"
 
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/placement"
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 )
 
@@ -231,10 +231,10 @@
 // lieBoxes puts false lines into the platform's list of boxes: an entry that is not there, an agent that is called an
 // entry, and a live entry under another name that is called leaving. They stay until the end.
 func (x *execution) lieBoxes(st step) {
-	for _, b := range []platform.Box{
-		{Name: "ghost", Role: platform.EntryBox, State: platform.BoxLive, Address: "http://ghost"},
-		{Name: "not-an-entry", Role: platform.EntryBox, State: platform.BoxLive, Address: agentAddress(st.A)},
-		{Name: "not-leaving", Role: platform.EntryBox, State: platform.BoxLeaving, Address: entryAddress(st.B % entryCount)},
+	for _, b := range []hosting.Box{
+		{Name: "ghost", Role: hosting.EntryBox, State: hosting.BoxLive, Address: "http://ghost"},
+		{Name: "not-an-entry", Role: hosting.EntryBox, State: hosting.BoxLive, Address: agentAddress(st.A)},
+		{Name: "not-leaving", Role: hosting.EntryBox, State: hosting.BoxLeaving, Address: entryAddress(st.B % entryCount)},
 	} {
 		x.platform.SetBox(b)
 	}
--- a/oracle/schemes_test.go
+++ b/oracle/schemes_test.go
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/membership"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 )
 
--- a/oracle/system_test.go
+++ b/oracle/system_test.go
@@ -24,11 +24,11 @@
 	"yarrowgrade.example/yarrowgrade/client"
 	"yarrowgrade.example/yarrowgrade/entry"
 	"yarrowgrade.example/yarrowgrade/gang"
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/placement"
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -126,7 +126,7 @@
 	}
 	c := s.network.Client(address)
 	e := entry.New(settings, entry.Parts{
-		Platform: platform.NewClient(platformAddress, c), Client: c, Telemetry: telemetry.Discard(), Random: s.intN,
+		Platform: hosting.NewClient(platformAddress, c), Client: c, Telemetry: telemetry.Discard(), Random: s.intN,
 	})
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.entries[i] = &running[*entry.Entry]{process: e, cancel: cancel}
@@ -160,7 +160,7 @@
 	}
 	c := s.network.Client(address)
 	a := agent.New(settings, agent.Parts{
-		Target: s.targets[i], Platform: platform.NewClient(platformAddress, c), Client: c,
+		Target: s.targets[i], Platform: hosting.NewClient(platformAddress, c), Client: c,
 		Telemetry: telemetry.Discard(), Random: s.intN,
 	})
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -299,7 +299,7 @@
 				continue
 			}
 			for _, task := range tasks {
-				if task.State == platform.TaskRunning {
+				if task.State == hosting.TaskRunning {
 					counts[task.Token]++
 				}
 			}
--- a/oracle/verdict_test.go
+++ b/oracle/verdict_test.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
-	"yarrowgrade.example/yarrowgrade/platform"
-	"yarrowgrade.example/yarrowgrade/platform/standin"
 	"yarrowgrade.example/yarrowgrade/request"
 )
 
@@ -89,13 +89,13 @@
 // checkLog wants the system not to flood the log.
 func (x *execution) checkLog() {
 	if state, _ := x.state(0); state.Revision() > maxRecords {
-		batch, _ := x.platform.Read(x.ctx, platform.LedgerStream, state.Revision()-20, 20, 0)
+		batch, _ := x.platform.Read(x.ctx, hosting.LedgerStream, state.Revision()-20, 20, 0)
 		x.violate("the log has %d records, among the last: %s", state.Revision(), texts(batch))
 	}
 }
 
 // texts returns the records of a batch as they are stored.
-func texts(batch platform.Batch) []string {
+func texts(batch hosting.Batch) []string {
 	var list []string
 	for _, r := range batch.Records {
 		list = append(list, string(r.Data))
