--- /dev/null
+++ b/assignment/assignment.go
@@ -0,0 +1,123 @@
+// Package assignment holds the messages between an agent and the dispatcher in office: the agent polls, says what its
+// worker runs, and hears what it should run.
+//
+// All of it is level-triggered: an answer is made from what is wanted and what the poll says, so a lost message needs no
+// care of its own. An agent obeys the highest term that it has heard of. Times that bound a lease are counted from when
+// the dispatcher sent an answer: an agent that sent its poll at t and hears that it was held for h may keep what runs
+// alive until t + h + Lease at the latest.
+//
+// # Usage
+//
+//	POST /internal/assignments, Poll -> Answer (200) or Redirect (409)
+package assignment
+
+import (
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// Path is where a dispatcher takes polls.
+const Path = "/internal/assignments"
+
+// OfficePath is where an entry says who the dispatcher is.
+const OfficePath = "/internal/office"
+
+// Life describes one life of a worker.
+type Life struct {
+	ID      string   `json:"id"`
+	Machine string   `json:"machine,omitempty"`
+	Service string   `json:"service"`
+	Zone    string   `json:"zone"`
+	Rack    string   `json:"rack,omitempty"`
+	Labels  []string `json:"labels,omitempty"`
+	Room    job.Need `json:"room"`
+	// Leaving says that it takes no new work, and LeavesIn how long it stays at least, in milliseconds.
+	Leaving  bool  `json:"leaving,omitempty"`
+	LeavesIn int64 `json:"leaves_in,omitempty"`
+}
+
+// RunID names one run of a task.
+type RunID struct {
+	Task job.TaskName `json:"t"`
+	Run  int          `json:"r"`
+}
+
+// Run is a run that is on a worker, or that its agent is about to start.
+type Run struct {
+	RunID
+	// Percent is how much of the task is done; -1 while it is not known to be there.
+	Percent int `json:"p"`
+	// Saved is the newest checkpoint.
+	Saved string `json:"s,omitempty"`
+}
+
+// End is an end that a worker has listed. Numbers rise from 1 within a life.
+type End struct {
+	RunID
+	Number int64      `json:"n"`
+	How    job.Ending `json:"h"`
+	Saved  string     `json:"s,omitempty"`
+}
+
+// Refusal is a run that the worker did not start and never will.
+type Refusal struct {
+	RunID
+	Reason string `json:"reason"`
+}
+
+// Poll is what an agent says.
+type Poll struct {
+	// Worker names the box of the agent; Agent one life of the agent's process; Sequence rises with its polls.
+	Worker   string `json:"worker"`
+	Agent    string `json:"agent"`
+	Sequence int64  `json:"seq"`
+	// Term is the highest that the agent knows.
+	Term int64 `json:"term"`
+	// Life is the worker's, or nil as long as none is known.
+	Life *Life `json:"life,omitempty"`
+	// Listed says that Runs and Ends are what the worker said after it had heard the fence of this life of the agent.
+	Listed  bool      `json:"listed,omitempty"`
+	Runs    []Run     `json:"runs,omitempty"`
+	Ends    []End     `json:"ends,omitempty"`
+	Refused []Refusal `json:"refused,omitempty"`
+	// Over lists lives of which nothing runs any more.
+	Over []string `json:"over,omitempty"`
+	// Seen is up to which end the agent has been told that it is kept.
+	Seen int64 `json:"seen,omitempty"`
+	// Wait says that the answer may be held until there is something to say.
+	Wait bool `json:"wait,omitempty"`
+}
+
+// Start is a run that should be there.
+type Start struct {
+	RunID
+	Spec  string `json:"spec"`
+	Saved string `json:"s,omitempty"`
+}
+
+// Answer is what the dispatcher says.
+type Answer struct {
+	Term int64 `json:"term"`
+	// Fence is what the agent sends to its worker with each order.
+	Fence int64 `json:"fence"`
+	// HeldMillis is how long the poll was held, LeaseMillis how long from the answer on runs may be kept alive. A lease
+	// of zero extends nothing.
+	HeldMillis  int64   `json:"held_ms"`
+	LeaseMillis int64   `json:"lease_ms"`
+	Start       []Start `json:"start,omitempty"`
+	Stop        []RunID `json:"stop,omitempty"`
+	// Life is the life that Start, Stop and Seen are about; Seen is up to which end all is kept.
+	Life string `json:"life,omitempty"`
+	Seen int64  `json:"seen,omitempty"`
+}
+
+// Held and Lease as durations.
+func (a Answer) Held() time.Duration  { return time.Duration(a.HeldMillis) * time.Millisecond }
+func (a Answer) Lease() time.Duration { return time.Duration(a.LeaseMillis) * time.Millisecond }
+
+// Redirect says where the dispatcher is, as far as the entry knows.
+type Redirect struct {
+	Term    int64  `json:"term"`
+	Address string `json:"address"`
+}
--- /dev/null
+++ b/cmd/yarrowgraded/jobagent.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/runner"
+	"yarrowgrade.example/yarrowgrade/telemetry"
+)
+
+const jobAgentUsage = `
+job-agent is the agent for jobs on the users' platform. It runs beside one worker, takes its heartbeats, and keeps it
+running what the dispatcher wants: it starts and stops runs, and extends their lease as long as the dispatcher does. It
+decides nothing and keeps nothing.
+
+Its settings come from the file that the platform names. On SIGTERM it ends at once: what runs goes on, and the next
+agent on the box takes it over.
+
+Example:
+
+  yarrowgraded job-agent
+`
+
+// workerDrift is the most by which a worker's clock may be slow, as a share.
+const workerDrift = 0.03
+
+type jobAgentCommand struct {
+	LogLevel string `help:"Lowest level that is logged: trace, debug, info, warn or error." default:"info"`
+}
+
+// Help implements kong.HelpProvider.
+func (*jobAgentCommand) Help() string { return jobAgentUsage }
+
+// Run implements the command.
+func (c *jobAgentCommand) Run(ctx context.Context) error {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	t, err := telemetry.New(ctx, telemetry.Settings{Role: "agent", Name: s.Node, Log: os.Stdout, Level: c.LogLevel})
+	if err != nil {
+		return err
+	}
+	client := newClient(t)
+	directory := jobstore.NewDirectory(platform.NewStore(s, client).Topic(platform.OfficeTopic))
+	r := runner.New(
+		runner.Settings{Name: s.Node, Agent: uuid.NewString(), Lease: s.Hold(), Drift: workerDrift},
+		runner.Parts{Worker: platform.NewWorker(s, client), Dispatcher: runner.NewOffice(directory, client), Logger: t.Log},
+	)
+	if _, err := serveAll(map[string]http.Handler{s.Listen.Control: platform.NewHeartbeats(r)}); err != nil {
+		return err
+	}
+	t.Log.Info().Str("step", "start").Str("zone", s.Zone).Str("worker", s.App).Msg("agent starts")
+	var wg conc.WaitGroup
+	wg.Go(func() { directory.Run(ctx) })
+	wg.Go(func() { r.Run(ctx) })
+	wg.Wait()
+	t.Log.Info().Str("step", "stop").Msg("agent stopped")
+	return nil
+}
--- /dev/null
+++ b/cmd/yarrowgraded/jobentry.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/dispatch"
+	"yarrowgrade.example/yarrowgrade/intake"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/platform"
+	"yarrowgrade.example/yarrowgrade/telemetry"
+)
+
+const jobEntryUsage = `
+job-entry is the entry for jobs on the users' platform. It takes callers' jobs, keeps them in the platform's store, and
+tells their state. One of the entries holds the office of dispatcher and decides what runs where; the others follow and
+take over when it is silent.
+
+Its settings come from the file that the platform names. On SIGTERM it calls itself not ready, gives the office up,
+finishes what is in flight, and exits.
+
+Example:
+
+  yarrowgraded job-entry
+`
+
+// Ports of a process for others of the system, as places in the range of the settings.
+const innerPlace = 0
+
+// drainFor is how long an entry serves on after it has called itself not ready: the platform looks every second, twice.
+const drainFor = 2500 * time.Millisecond
+
+type jobEntryCommand struct {
+	LogLevel string `help:"Lowest level that is logged: trace, debug, info, warn or error." default:"info"`
+}
+
+// Help implements kong.HelpProvider.
+func (*jobEntryCommand) Help() string { return jobEntryUsage }
+
+// Run implements the command.
+func (c *jobEntryCommand) Run(ctx context.Context) error {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	t, err := telemetry.New(ctx, telemetry.Settings{Role: "entry", Name: s.Node, Log: os.Stdout, Level: c.LogLevel})
+	if err != nil {
+		return err
+	}
+	e := newJobEntry(s, t)
+	return e.run(ctx)
+}
+
+// jobEntry is the process of an entry.
+type jobEntry struct {
+	settings   *platform.Settings
+	telemetry  *telemetry.Telemetry
+	directory  jobstore.Log
+	replica    *jobstore.Replica
+	catalog    *catalog.Follower
+	intake     *intake.Intake
+	dispatcher *dispatch.Dispatcher
+	leaving    chan struct{}
+}
+
+func newJobEntry(s *platform.Settings, t *telemetry.Telemetry) *jobEntry {
+	store := platform.NewStore(s, newClient(t))
+	e := &jobEntry{settings: s, telemetry: t, directory: store.Topic(platform.OfficeTopic), leaving: make(chan struct{})}
+	jobs := store.Topic(platform.JobsTopic)
+	e.replica = jobstore.NewReplica(jobs, t.Log)
+	e.catalog = catalog.NewFollower(store.Topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
+	e.intake = intake.New(intake.Settings{KeyProof: s.Revoke()}, intake.Parts{
+		Log: jobs, Replica: e.replica, Catalog: e.catalog, Logger: t.Log,
+	})
+	timing := dispatch.DefaultTiming(s.Hold())
+	timing.Forget = s.Status() + time.Minute
+	e.dispatcher = dispatch.New(
+		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: s.InnerAddress(innerPlace), Timing: timing},
+		dispatch.Parts{Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.directory, Logger: t.Log},
+	)
+	return e
+}
+
+// run works until ctx ends, and then leaves as planned.
+func (e *jobEntry) run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	servers, err := e.listen()
+	if err != nil {
+		return err
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() { e.replica.Run(running) })
+	wg.Go(func() { e.catalog.Run(running) })
+	wg.Go(func() { e.dispatcher.Run(running) })
+	wg.Go(func() {
+		jobstore.AnnounceEntry(running, e.directory, e.settings.Node, e.settings.InnerAddress(innerPlace))
+	})
+	e.telemetry.Log.Info().Str("step", "start").Str("zone", e.settings.Zone).Str("address", e.settings.InnerAddress(innerPlace)).Msg("entry starts")
+	<-ctx.Done()
+	e.telemetry.Log.Info().Str("step", "stop").Msg("entry leaves")
+	close(e.leaving)
+	e.dispatcher.Resign()
+	for _, server := range servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+	sleep(running, drainFor)
+	stopping, done := context.WithTimeout(running, e.settings.Grace()-drainFor-time.Second)
+	defer done()
+	for _, server := range servers {
+		_ = server.Shutdown(stopping)
+	}
+	cancel()
+	wg.Wait()
+	e.telemetry.Log.Info().Str("step", "stop").Msg("entry stopped")
+	return nil
+}
+
+// listen opens the listeners of callers, of the platform's look at readiness, and of agents.
+func (e *jobEntry) listen() ([]*http.Server, error) {
+	inner := httprouter.New()
+	inner.HandlerFunc(http.MethodPost, assignment.Path, e.dispatcher.ServePoll)
+	inner.HandlerFunc(http.MethodGet, assignment.OfficePath, e.dispatcher.ServeOffice)
+	handlers := map[string]http.Handler{
+		e.settings.Listen.Front:             platform.NewCallers(e.intake),
+		e.settings.Listen.Ready:             platform.Ready(e.ready),
+		e.settings.InnerAddress(innerPlace): inner,
+	}
+	return serveAll(handlers)
+}
+
+func (e *jobEntry) ready() bool {
+	select {
+	case <-e.leaving:
+		return false
+	default:
+		return e.intake.Ready()
+	}
+}
+
+// serveAll serves each handler at its address. Empty addresses are passed over.
+func serveAll(handlers map[string]http.Handler) ([]*http.Server, error) {
+	var servers []*http.Server
+	for address, handler := range handlers {
+		if address == "" {
+			continue
+		}
+		l, err := listen("listen", address)
+		if err != nil {
+			return nil, err
+		}
+		server := newServer(handler)
+		servers = append(servers, server)
+		go func() { _ = serve(server, l) }()
+	}
+	return servers, nil
+}
--- a/cmd/yarrowgraded/main.go
+++ b/cmd/yarrowgraded/main.go
@@ -5,6 +5,8 @@
 //	yarrowgraded dev      everything in one process on a laptop
 //	yarrowgraded entry    the process on an entry box
 //	yarrowgraded agent    the process beside a target
+//	yarrowgraded job-entry    the process on an entry box of the users' platform
+//	yarrowgraded job-agent    the process beside a worker of the users' platform
 //
 // Every flag can be set by an environment variable, YARROWGRADE_ and the flag's name. SIGTERM and SIGINT are planned
 // stops: nothing in flight is cut.
@@ -30,6 +32,9 @@
 	Dev   devCommand   `cmd:"" help:"Run a platform stand-in, two entries and six agents in this process, for a first look."`
 	Entry entryCommand `cmd:"" help:"Run an entry: it takes requests and operators' calls and decides placements."`
 	Agent agentCommand `cmd:"" help:"Run the agent beside a target: the only way to the target, and the member of gangs."`
+
+	JobEntry jobEntryCommand `cmd:"" help:"Run an entry for jobs on the users' platform."`
+	JobAgent jobAgentCommand `cmd:"" help:"Run the agent for jobs beside a worker of the users' platform."`
 }
 
 func main() {
--- /dev/null
+++ b/dispatch/control.go
@@ -0,0 +1,332 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+)
+
+// tracked is a job as the control goroutine holds it.
+type tracked struct {
+	job      *job.Job
+	progress *job.Progress
+	// dirty says that the progress has changes which are not kept yet.
+	dirty bool
+	// stopping holds the runs that were told to stop.
+	stopping map[job.TaskName]int
+}
+
+// worker is a worker as the control goroutine knows it.
+type worker struct {
+	name string
+	// life is nil until the agent has reported one.
+	life *assignment.Life
+	// heard is when the newest poll was taken, granted when the newest lease was given.
+	heard   time.Time
+	granted time.Time
+	// leaves is the earliest time at which a leaving worker goes.
+	leaves time.Time
+	// runs are those that the worker has reported, ends the number up to which its ends are taken note of.
+	runs  map[assignment.RunID]observed
+	ends  int64
+	trust trust
+}
+
+// observed is what is known of a run that a worker has reported.
+type observed struct {
+	percent  int
+	since    time.Time
+	advanced time.Time
+}
+
+// control is the state of a holder of the office. One goroutine owns it.
+type control struct {
+	timing  Timing
+	logger  zerolog.Logger
+	catalog *catalog.Follower
+	replica *jobstore.Replica
+	// took is when the office was taken.
+	took    time.Time
+	jobs    map[job.ID]*tracked
+	workers map[string]*worker
+	// next is when the next pass is due by itself.
+	next time.Time
+}
+
+func newControl(timing Timing, parts Parts) *control {
+	return &control{
+		timing: timing, logger: parts.Logger, catalog: parts.Catalog, replica: parts.Replica, took: time.Now(),
+		jobs: map[job.ID]*tracked{}, workers: map[string]*worker{},
+	}
+}
+
+// load takes all that is stored.
+func (c *control) load(views []jobstore.View) error {
+	for _, v := range views {
+		c.take(v)
+	}
+	return nil
+}
+
+// take takes a job, or news of one, over from the topic.
+func (c *control) take(v jobstore.View) {
+	t := c.jobs[v.ID]
+	if t == nil {
+		t = c.open(v)
+	}
+	if t == nil {
+		return
+	}
+	if v.Cancelled && !t.progress.Phase.Final() {
+		t.progress.Cancel()
+		t.dirty = true
+		c.logger.Info().Str("step", "dispatch.cancel").Str("job", string(v.ID)).Msg("job is cancelled")
+	}
+}
+
+func (c *control) open(v jobstore.View) *tracked {
+	if v.Submission == nil {
+		return nil
+	}
+	j, err := job.Decode(v.ID, v.Submission)
+	if err != nil {
+		c.logger.Error().Str("step", "dispatch.open").Str("job", string(v.ID)).Err(err).Msg("job is unreadable")
+		return nil
+	}
+	t := &tracked{job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}}
+	if v.Progress != nil {
+		if t.progress, err = job.DecodeProgress(v.Progress); err != nil {
+			c.logger.Error().Str("step", "dispatch.open").Str("job", string(v.ID)).Err(err).Msg("progress is unreadable")
+			return nil
+		}
+	}
+	c.jobs[v.ID] = t
+	return t
+}
+
+// pass is one round of the control loop: news in, decisions, one append, and then the word to the agents.
+func (c *control) pass(ctx context.Context, t *term, d *desk) error {
+	now := time.Now()
+	polls, granted := d.take()
+	for name, at := range granted {
+		c.workerOf(name).granted = at
+	}
+	for name, poll := range polls {
+		c.report(now, c.workerOf(name), poll)
+	}
+	for _, v := range c.replica.Take() {
+		c.take(v)
+	}
+	c.expire(now)
+	c.plan(now)
+	records, err := c.changes(now)
+	if err != nil {
+		return err
+	}
+	if len(records) > 0 {
+		if err := t.write(ctx, records); err != nil {
+			return err
+		}
+	}
+	d.publish(c.publications())
+	return nil
+}
+
+func (c *control) workerOf(name string) *worker {
+	w := c.workers[name]
+	if w == nil {
+		w = &worker{name: name, runs: map[assignment.RunID]observed{}}
+		c.workers[name] = w
+	}
+	return w
+}
+
+// report takes over what an agent says.
+func (c *control) report(now time.Time, w *worker, poll assignment.Poll) {
+	w.heard = now
+	for _, life := range poll.Over {
+		c.lose(w.name, life, "its life is over")
+	}
+	if poll.Life == nil || !poll.Listed {
+		return
+	}
+	if w.life == nil || w.life.ID != poll.Life.ID {
+		c.newLife(w, poll.Life)
+	}
+	if poll.Life.Leaving && !w.life.Leaving {
+		w.leaves = now.Add(time.Duration(poll.Life.LeavesIn) * time.Millisecond)
+		c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Int64("leaves_in_ms", poll.Life.LeavesIn).Msg("worker leaves")
+	}
+	w.life = poll.Life
+	c.reportRuns(now, w, poll)
+	for _, e := range poll.Ends {
+		if e.Number > w.ends {
+			c.end(w, e.RunID, e.How, e.Saved)
+			w.ends = e.Number
+		}
+	}
+	for _, r := range poll.Refused {
+		c.end(w, r.RunID, job.EndRefused, "")
+		c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Stringer("task", r.Task).Int("run", r.Run).
+			Str("reason", r.Reason).Msg("start refused")
+		w.trust.refused(now, r.Reason)
+	}
+}
+
+// newLife ends what the worker's earlier lives ran.
+func (c *control) newLife(w *worker, life *assignment.Life) {
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
+			if task.Worker == w.name && task.Life != life.ID {
+				c.endTask(t, name, task.Run, task.Life, job.EndLost, "")
+			}
+		})
+	}
+	c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Str("life", life.ID).Msg("worker reports")
+	w.life, w.ends, w.runs, w.trust, w.leaves = life, 0, map[assignment.RunID]observed{}, trust{}, time.Time{}
+}
+
+func (c *control) reportRuns(now time.Time, w *worker, poll assignment.Poll) {
+	runs := make(map[assignment.RunID]observed, len(poll.Runs))
+	for _, r := range poll.Runs {
+		o, known := w.runs[r.RunID]
+		if !known {
+			o = observed{percent: -1, since: now, advanced: now}
+		}
+		if r.Percent > o.percent {
+			o.percent, o.advanced = r.Percent, now
+		}
+		runs[r.RunID] = o
+	}
+	w.runs = runs
+}
+
+// end takes note of the end of a run on the worker's present life.
+func (c *control) end(w *worker, id assignment.RunID, how job.Ending, saved string) {
+	t := c.jobs[id.Task.Job]
+	if t == nil {
+		return
+	}
+	if c.endTask(t, id.Task, id.Run, w.life.ID, how, saved) {
+		w.trust.ended(time.Now(), id.Task.Job, how)
+	}
+}
+
+func (c *control) endTask(t *tracked, name job.TaskName, run int, life string, how job.Ending, saved string) bool {
+	before := t.progress.Phase
+	if !t.progress.End(t.job, name, run, life, how, saved) {
+		return false
+	}
+	t.dirty = true
+	delete(t.stopping, name)
+	c.logger.Info().Str("step", "dispatch.end").Stringer("task", name).Int("run", run).Str("how", string(how)).Msg("run ended")
+	if t.progress.Phase != before && t.progress.Phase.Final() {
+		c.logger.Info().Str("step", "dispatch.end").Str("job", string(name.Job)).Stringer("phase", t.progress.Phase).Msg("job ended")
+	}
+	return true
+}
+
+// lose ends all that is placed on a life of a worker.
+func (c *control) lose(name, life, why string) {
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
+			if placed.Worker == name && placed.Life == life {
+				c.logger.Info().Str("step", "dispatch.lose").Stringer("task", task).Int("run", placed.Run).
+					Str("worker", name).Str("why", why).Msg("run is lost")
+				c.endTask(t, task, placed.Run, life, job.EndLost, "")
+			}
+		})
+	}
+}
+
+// expire ends what is placed on workers whose lease is surely over: nobody has extended it for long enough.
+func (c *control) expire(now time.Time) {
+	silent := map[string]map[string]bool{}
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(_ job.TaskName, placed *job.Task) {
+			if now.Before(c.surelyOver(placed.Worker)) {
+				return
+			}
+			if silent[placed.Worker] == nil {
+				silent[placed.Worker] = map[string]bool{}
+			}
+			silent[placed.Worker][placed.Life] = true
+		})
+	}
+	for name, lives := range silent {
+		for life := range lives {
+			c.lose(name, life, "its lease is over")
+		}
+	}
+}
+
+// surelyOver is when nothing runs on a worker any more, if no lease is given from now on.
+func (c *control) surelyOver(name string) time.Time {
+	// A former holder may have given a lease with a proof from just before this one took office.
+	base := c.took.Add(c.timing.Proof)
+	if w := c.workers[name]; w != nil && w.granted.After(base) {
+		base = w.granted
+	}
+	return base.Add(c.timing.over())
+}
+
+// changes returns the records of what has changed, and drops jobs that ended long ago.
+func (c *control) changes(now time.Time) ([]jobstore.Record, error) {
+	var records []jobstore.Record
+	for id, t := range c.jobs {
+		if t.progress.Phase.Final() && t.progress.EndedAt.IsZero() {
+			t.progress.EndedAt, t.dirty = now, true
+		}
+		if t.dirty {
+			record, err := jobstore.ProgressRecord(id, t.progress)
+			if err != nil {
+				return nil, err
+			}
+			records = append(records, record)
+			t.dirty = false
+			continue
+		}
+		if t.progress.Phase.Final() && now.Sub(t.progress.EndedAt) > c.timing.Forget && !t.progress.AnyPlaced() {
+			records = append(records, jobstore.ForgetRecords(id)...)
+			delete(c.jobs, id)
+		}
+	}
+	return records, nil
+}
+
+// publications is what each worker should run.
+func (c *control) publications() map[string]publication {
+	all := make(map[string]publication, len(c.workers))
+	for name, w := range c.workers {
+		if w.life != nil {
+			all[name] = publication{life: w.life.ID, want: map[job.TaskName]wanted{}, seen: w.ends}
+		}
+	}
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
+			p, ok := all[task.Worker]
+			if !ok || p.life != task.Life {
+				return
+			}
+			p.want[name] = wanted{
+				start: assignment.Start{
+					RunID: assignment.RunID{Task: name, Run: task.Run}, Spec: t.job.Spec, Saved: task.Saved,
+				},
+				stopping: t.stopping[name] == task.Run || t.progress.Phase == job.Cancelled || t.progress.Phase == job.Failed,
+			}
+		})
+	}
+	return all
+}
+
+// sleep is how long the control goroutine may wait for news.
+func (c *control) sleep(written time.Time) time.Duration {
+	wait := min(time.Until(written.Add(c.timing.Renew)), time.Until(c.next))
+	return max(wait, time.Millisecond)
+}
--- /dev/null
+++ b/dispatch/desk.go
@@ -0,0 +1,248 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// wanted is a run that should be on a worker.
+type wanted struct {
+	start    assignment.Start
+	stopping bool
+}
+
+// place is what the desk knows of one worker and its agent.
+type place struct {
+	// agent is the newest life of the agent's process; former ones are not listened to any more.
+	agent    string
+	former   map[string]bool
+	sequence int64
+	fence    int64
+	// poll is the newest one; news says that the control goroutine has not seen it yet.
+	poll assignment.Poll
+	news bool
+	// granted is when the newest answer with a lease was sent.
+	granted time.Time
+
+	// What the control goroutine has published for the life.
+	life string
+	want map[job.TaskName]wanted
+	seen int64
+}
+
+// desk is where agents' polls meet the control goroutine. The handlers of polls read what was published and leave their
+// news; they change nothing else.
+type desk struct {
+	timing Timing
+	news   chan struct{}
+
+	mu sync.Mutex
+	// term is that of the office held here; zero if it isn't.
+	term   int64
+	fences int64
+	proof  time.Time
+	synced bool
+	places map[string]*place
+	// published is closed and replaced at each publication.
+	published chan struct{}
+}
+
+func newDesk(timing Timing) *desk {
+	return &desk{timing: timing, news: make(chan struct{}, 1), published: make(chan struct{})}
+}
+
+// open begins a term.
+func (d *desk) open(term int64, proof time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.term, d.fences, d.proof, d.synced = term, 0, proof, false
+	d.places = map[string]*place{}
+}
+
+// close ends the term: polls are redirected from now on.
+func (d *desk) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.term, d.places = 0, nil
+	d.announce()
+}
+
+// prove notes that the office was held when a write that has been acknowledged was sent.
+func (d *desk) prove(sent time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if sent.After(d.proof) {
+		d.proof = sent
+	}
+}
+
+func (d *desk) announce() {
+	close(d.published)
+	d.published = make(chan struct{})
+}
+
+// lease is how long runs may be kept alive from now on: nothing once the proof of the office is too old, because a
+// successor counts on it.
+func (d *desk) lease(now time.Time) time.Duration {
+	if now.Sub(d.proof) > d.timing.Proof {
+		return 0
+	}
+	return d.timing.Lease
+}
+
+// serve answers a poll, or returns false if the office is not held here, or not in the term that the agent knows.
+func (d *desk) serve(ctx context.Context, poll assignment.Poll) (assignment.Answer, bool) {
+	arrived := time.Now()
+	if !d.receive(poll) {
+		return assignment.Answer{}, false
+	}
+	deadline := time.NewTimer(d.timing.Hold)
+	defer deadline.Stop()
+	for held := true; ; {
+		answer, urgent, published, ok := d.answer(poll, arrived)
+		if !ok || urgent || !poll.Wait || !held {
+			return answer, ok
+		}
+		select {
+		case <-published:
+		case <-deadline.C:
+			held = false
+		case <-ctx.Done():
+			return answer, false
+		}
+	}
+}
+
+// receive takes the news of a poll.
+func (d *desk) receive(poll assignment.Poll) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.term == 0 || poll.Term > d.term {
+		return false
+	}
+	p := d.places[poll.Worker]
+	if p == nil {
+		p = &place{former: map[string]bool{}}
+		d.places[poll.Worker] = p
+	}
+	if p.former[poll.Agent] {
+		return false
+	}
+	if p.agent != poll.Agent {
+		if p.agent != "" {
+			p.former[p.agent] = true
+		}
+		p.agent, p.sequence = poll.Agent, 0
+		d.fences++
+		p.fence = d.term<<fenceBits + d.fences
+	}
+	if poll.Sequence <= p.sequence {
+		return true
+	}
+	p.sequence, p.poll, p.news = poll.Sequence, poll, true
+	select {
+	case d.news <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// fenceBits is the part of a fence that counts within a term: a million lives of agents.
+const fenceBits = 20
+
+// answer makes the answer to a poll as things stand. Urgent says that there is something to say.
+func (d *desk) answer(poll assignment.Poll, arrived time.Time) (a assignment.Answer, urgent bool, published chan struct{}, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.places[poll.Worker]
+	if d.term == 0 || p == nil || p.agent != poll.Agent {
+		return a, false, nil, false
+	}
+	now := time.Now()
+	lease := d.lease(now)
+	a = assignment.Answer{
+		Term: d.term, Fence: p.fence,
+		HeldMillis: now.Sub(arrived).Milliseconds(), LeaseMillis: lease.Milliseconds(),
+	}
+	if lease > 0 {
+		p.granted = now
+	}
+	if !poll.Listed || poll.Life == nil {
+		// The agent needs its fence before it can list anything.
+		return a, !poll.Listed && poll.Life != nil, d.published, true
+	}
+	if !d.synced || poll.Life.ID != p.life {
+		return a, false, d.published, true
+	}
+	a.Life, a.Seen = p.life, p.seen
+	a.Start, a.Stop = p.difference(poll, lease > 0)
+	urgent = len(a.Start) > 0 || len(a.Stop) > 0 || a.Seen > poll.Seen
+	return a, urgent, d.published, true
+}
+
+// difference returns what has to be started and stopped so that what runs is what is wanted.
+func (p *place) difference(poll assignment.Poll, may bool) (start []assignment.Start, stop []assignment.RunID) {
+	have := make(map[assignment.RunID]bool, len(poll.Runs)+len(poll.Ends)+len(poll.Refused))
+	for _, r := range poll.Runs {
+		have[r.RunID] = true
+		if w, ok := p.want[r.Task]; !ok || w.stopping || w.start.Run != r.Run {
+			stop = append(stop, r.RunID)
+		}
+	}
+	for _, e := range poll.Ends {
+		have[e.RunID] = true
+	}
+	for _, r := range poll.Refused {
+		have[r.RunID] = true
+	}
+	if !may {
+		return nil, stop
+	}
+	for _, w := range p.want {
+		if !w.stopping && !have[w.start.RunID] {
+			start = append(start, w.start)
+		}
+		if w.stopping && !have[w.start.RunID] {
+			// Its start may be under way: a stop makes sure that it never comes.
+			stop = append(stop, w.start.RunID)
+		}
+	}
+	return start, stop
+}
+
+// take returns the polls that are new since the last call, by worker, and when each worker was last granted a lease.
+func (d *desk) take() (polls map[string]assignment.Poll, granted map[string]time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	polls, granted = map[string]assignment.Poll{}, make(map[string]time.Time, len(d.places))
+	for name, p := range d.places {
+		if p.news {
+			polls[name], p.news = p.poll, false
+		}
+		granted[name] = p.granted
+	}
+	return polls, granted
+}
+
+// publication is what a worker should run.
+type publication struct {
+	life string
+	want map[job.TaskName]wanted
+	seen int64
+}
+
+// publish puts what has been kept in force for the agents.
+func (d *desk) publish(all map[string]publication) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, p := range d.places {
+		news := all[name]
+		p.life, p.want, p.seen = news.life, news.want, news.seen
+	}
+	d.synced = true
+	d.announce()
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,286 @@
+// Package dispatch decides which task runs on which worker. One entry at a time holds the office of dispatcher; each entry
+// runs a Dispatcher, which waits until its turn comes.
+//
+// # Office
+//
+// The office is a record of the job topic with a term. An entry that has read everything and sees no sign of the holder
+// for a while claims the next term, on the condition that nothing was written meanwhile; the log then shuts out what a
+// former holder writes. A holder leases running work out only while it has a proof, an acknowledged write of its term, that
+// is younger than Timing.Proof. So a successor knows how long work on a silent worker can still run: Timing.Proof after it
+// took office, and a lease on top.
+//
+// # Decisions
+//
+// The control goroutine takes agents' news, callers' jobs and cancels, and time; it computes what should run, stores what
+// has changed by one append, and only then tells the agents. So nothing is acted on that is not kept, and nothing is
+// acknowledged either. While an append gets no answer it is sent again with the same number; nothing else is decided.
+//
+// # Usage
+//
+//	d := dispatch.New(settings, parts)
+//	go d.Run(ctx)
+//	http.Handle(assignment.Path, d.Handler())
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+)
+
+// Timing is the pace of a dispatcher and the bounds that others count on.
+type Timing struct {
+	// Lease is how long from an answer on a worker's runs may be kept alive; Proof bounds the age of the proof of the
+	// office with which one is given.
+	Lease time.Duration
+	Proof time.Duration
+	// Drift is the most that a worker's clock may add to a lease, as a share, and Margin a fixed time on top.
+	Drift  float64
+	Margin time.Duration
+	// Hold is how long a poll is held when there is nothing to say.
+	Hold time.Duration
+	// Renew is how often a holder that writes nothing else shows that it lives. Patience is how long the others wait
+	// without a sign.
+	Renew    time.Duration
+	Patience time.Duration
+	// Silent is how long a worker may be silent and still get new work.
+	Silent time.Duration
+	// Forget is how long an ended job is kept.
+	Forget time.Duration
+}
+
+// DefaultTiming is the pace with a lease of the given length.
+func DefaultTiming(lease time.Duration) Timing {
+	return Timing{
+		Lease: lease, Proof: 3 * time.Second, Drift: 0.03, Margin: 300 * time.Millisecond,
+		Hold: 500 * time.Millisecond, Renew: 400 * time.Millisecond, Patience: 1500 * time.Millisecond,
+		Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute,
+	}
+}
+
+// over is how long after an answer with a lease nothing of it runs any more.
+func (t Timing) over() time.Duration {
+	return time.Duration(float64(t.Lease)*(1+t.Drift)) + t.Margin
+}
+
+// Settings of a dispatcher.
+type Settings struct {
+	// Holder names this life of the entry; Address is where agents reach it.
+	Holder  string
+	Address string
+	Timing  Timing
+}
+
+// Parts are what a dispatcher works with.
+type Parts struct {
+	Log     jobstore.Log
+	Replica *jobstore.Replica
+	Catalog *catalog.Follower
+	// Directory is the topic in which agents look for the dispatcher.
+	Directory jobstore.Log
+	Logger    zerolog.Logger
+}
+
+// Dispatcher waits for the office and holds it.
+type Dispatcher struct {
+	settings Settings
+	parts    Parts
+	desk     *desk
+	resign   chan struct{}
+}
+
+// New returns a dispatcher. Run starts it.
+func New(s Settings, p Parts) *Dispatcher {
+	return &Dispatcher{settings: s, parts: p, desk: newDesk(s.Timing), resign: make(chan struct{})}
+}
+
+// Resign gives the office up, if it is held, and never claims it again.
+func (d *Dispatcher) Resign() { close(d.resign) }
+
+// Run waits for the office and holds it, again and again, until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	refused := int64(-1)
+	for ctx.Err() == nil {
+		office, ok := d.await(ctx, refused)
+		if !ok {
+			return
+		}
+		err := d.hold(ctx, office)
+		refused = office.Term
+		d.parts.Logger.Warn().Str("step", "dispatch.hold").Int64("term", office.Term).Err(err).Msg("office lost")
+	}
+}
+
+// await returns when this entry holds a term above the one that it has lost.
+func (d *Dispatcher) await(ctx context.Context, lost int64) (jobstore.Office, bool) {
+	patience := d.settings.Timing.Patience + rand.N(d.settings.Timing.Patience/5)
+	started := time.Now()
+	claimed := time.Time{}
+	for {
+		changed := d.parts.Replica.Changed()
+		office, sign, next := d.parts.Replica.Office()
+		if office.Holder == d.settings.Holder && office.Term > lost {
+			return office, true
+		}
+		proof := d.parts.Replica.Proof()
+		if sign.IsZero() {
+			sign = started.Add(-d.settings.Timing.Patience / 2)
+		}
+		// A proof that is younger than the patience after the newest sign: the holder's silence is not this entry's
+		// own deafness.
+		vacant := office.Holder == "" && office.Term > 0
+		if !proof.IsZero() && (vacant || proof.After(sign.Add(patience))) && time.Since(proof) < 2*patience && time.Since(claimed) > patience/2 {
+			claimed = time.Now()
+			d.claim(ctx, office.Term+1, next)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-time.After(awaitTick):
+		case <-d.resign:
+			return office, false
+		case <-ctx.Done():
+			return office, false
+		}
+	}
+}
+
+// awaitTick is how often the silence of the holder is looked at.
+const awaitTick = 100 * time.Millisecond
+
+// claim writes the claim of a term. Whether it counts is seen in the topic alone: the log takes the claims of several
+// entries for doubles of one call, because they carry the same term and number, and answers all of them with success.
+func (d *Dispatcher) claim(ctx context.Context, term, next int64) {
+	record, err := jobstore.OfficeRecord(jobstore.Office{Term: term, Holder: d.settings.Holder, Address: d.settings.Address})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	condition := jobstore.Condition{At: next, Exact: true, Producer: jobstore.TermOf(term, 0)}
+	offset, err := d.parts.Log.Append(ctx, []jobstore.Record{record}, condition)
+	d.parts.Logger.Info().Str("step", "dispatch.claim").Int64("term", term).Int64("offset", offset).Err(err).Msg("office claimed")
+}
+
+// Times of an append. A second try with the same number is harmless.
+const (
+	appendTimeout = 900 * time.Millisecond
+	appendPause   = 60 * time.Millisecond
+)
+
+// errSucceeded says that another entry holds a later term.
+var errSucceeded = errors.New("a later term has begun")
+
+// errResigned says that the office was given up.
+var errResigned = errors.New("given up for a planned stop")
+
+// term is the writing side of an office: it numbers the appends and repeats those without an answer.
+type term struct {
+	office   jobstore.Office
+	parts    Parts
+	desk     *desk
+	sequence int64
+	written  time.Time
+}
+
+// write appends records for sure, or returns errSucceeded, or the context's error.
+func (t *term) write(ctx context.Context, records []jobstore.Record) error {
+	t.sequence++
+	condition := jobstore.Condition{Producer: jobstore.TermOf(t.office.Term, t.sequence)}
+	for try := 0; ; try++ {
+		sent := time.Now()
+		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
+		offset, err := t.parts.Log.Append(attempt, records, condition)
+		cancel()
+		switch {
+		case err == nil:
+			t.written = sent
+			t.desk.prove(sent)
+			t.parts.Replica.Note(records, offset)
+			return nil
+		case errors.Is(err, jobstore.ErrFenced):
+			return errSucceeded
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+		if office, _, _ := t.parts.Replica.Office(); office.Term > t.office.Term {
+			return errSucceeded
+		}
+		if try == 0 {
+			t.parts.Logger.Warn().Str("step", "dispatch.write").Int64("term", t.office.Term).Err(err).Msg("append without an answer; sent again")
+		}
+		select {
+		case <-time.After(appendPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// renew shows that the holder lives.
+func (t *term) renew(ctx context.Context) error {
+	record, err := jobstore.OfficeRecord(t.office)
+	if err != nil {
+		return err
+	}
+	return t.write(ctx, []jobstore.Record{record})
+}
+
+// hold holds the office until it is lost.
+func (d *Dispatcher) hold(ctx context.Context, office jobstore.Office) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &term{office: office, parts: d.parts, desk: d.desk, written: time.Now()}
+	c := newControl(d.settings.Timing, d.parts)
+	if err := c.load(d.parts.Replica.All()); err != nil {
+		return err
+	}
+	// The claim was acknowledged or read back; the first write proves the office from now on.
+	d.desk.open(office.Term, time.Time{})
+	defer d.desk.close()
+	d.parts.Logger.Info().Str("step", "dispatch.hold").Int64("term", office.Term).Int("jobs", len(c.jobs)).Msg("office taken")
+	if err := t.renew(ctx); err != nil {
+		return err
+	}
+	go jobstore.AnnounceOffice(ctx, d.parts.Directory, office)
+	for {
+		changed, ruled := d.parts.Replica.Changed(), d.parts.Catalog.Changed()
+		if err := c.pass(ctx, t, d.desk); err != nil {
+			return err
+		}
+		if time.Since(t.written) >= d.settings.Timing.Renew {
+			if err := t.renew(ctx); err != nil {
+				return err
+			}
+		}
+		timer := time.NewTimer(c.sleep(t.written))
+		select {
+		case <-changed:
+		case <-ruled:
+		case <-d.desk.news:
+		case <-timer.C:
+		case <-d.resign:
+			return d.giveUp(ctx, t)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		timer.Stop()
+		if current, _, _ := d.parts.Replica.Office(); current.Term > office.Term {
+			return errSucceeded
+		}
+	}
+}
+
+// giveUp tells the others that the office is vacant.
+func (d *Dispatcher) giveUp(ctx context.Context, t *term) error {
+	t.office.Holder = ""
+	if err := t.renew(ctx); err != nil {
+		return err
+	}
+	return errResigned
+}
--- /dev/null
+++ b/job/job.go
@@ -0,0 +1,225 @@
+// Package job holds the model of a batch job: steps of tasks with dependencies, what a task needs of a worker, and what
+// has become of each task so far. It is pure: it knows no clock, no network and no store.
+//
+// A Job is what a caller submitted and never changes. A Progress is what has become of it; only the dispatcher that is in
+// office changes it. Both have a stored form of their own (JSON), and an ID that the caller has chosen.
+//
+// # Usage
+//
+//	if err := j.Validate(); err != nil { ... }            // *fault.Field
+//	p := job.NewProgress()
+//	for _, t := range j.Ready(p, now) { p.Assign(t, worker, life) }
+//	p.End(j, task, run, job.Done, "")
+package job
+
+import (
+	"fmt"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/fault"
+)
+
+// Bounds of a job.
+const (
+	MaxSpecBytes = 4000
+	MaxSteps     = 64
+	MaxTasks     = 2000
+	MaxTimes     = 10_000
+)
+
+// ID names a job. Its caller chooses it: 16 hexadecimal digits.
+type ID string
+
+// Validate returns a *fault.Field unless id is well formed.
+func (id ID) Validate() error {
+	if len(id) != 16 {
+		return fault.BadField("id", "want 16 hexadecimal digits, got %d signs", len(id))
+	}
+	for _, c := range id {
+		if !('0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F') {
+			return fault.BadField("id", "want 16 hexadecimal digits, got %q", string(id))
+		}
+	}
+	return nil
+}
+
+// Need is what one task takes of a worker, or what a worker has.
+type Need struct {
+	// CPU is in thousandths of a core, Memory in MB, Accelerators in whole ones.
+	CPU          int `json:"cpu,omitempty"`
+	Memory       int `json:"mem,omitempty"`
+	Accelerators int `json:"acc,omitempty"`
+}
+
+// Fits reports whether a task of need n goes into free.
+func (n Need) Fits(free Need) bool {
+	return n.CPU <= free.CPU && n.Memory <= free.Memory && n.Accelerators <= free.Accelerators
+}
+
+// Plus returns n with o times k added.
+func (n Need) Plus(o Need, k int) Need {
+	return Need{CPU: n.CPU + k*o.CPU, Memory: n.Memory + k*o.Memory, Accelerators: n.Accelerators + k*o.Accelerators}
+}
+
+// Step is a number of alike tasks.
+type Step struct {
+	Tasks int  `json:"tasks"`
+	Need  Need `json:"need"`
+	// Estimate is a rough guess of a task's time.
+	Estimate time.Duration `json:"est,omitempty"`
+	// After holds the numbers of earlier steps, all of whose tasks must be done first.
+	After []int `json:"after,omitempty"`
+	// Gang says that the tasks work only together. SameRack: spread over several racks they are slow.
+	Gang     bool `json:"gang,omitempty"`
+	SameRack bool `json:"same_rack,omitempty"`
+	// Label must be among those of the worker. DataRack is the rack near the data; elsewhere a task is slow.
+	Label    string `json:"label,omitempty"`
+	DataRack string `json:"data_rack,omitempty"`
+	// PerWorker bounds the tasks of the step (of one time) on a worker; zero is no bound.
+	PerWorker int `json:"per_worker,omitempty"`
+	// Checkpoint says that a task's progress is saved, and that it can go on elsewhere.
+	Checkpoint bool `json:"ckpt,omitempty"`
+	// Racing allows several copies of a task at once; the first that ends counts.
+	Racing bool `json:"racing,omitempty"`
+	// Lasts says that the tasks run until the job is cancelled.
+	Lasts bool `json:"lasts,omitempty"`
+	// Image names what the tasks run. Target bounds the tail of the answers of a task that lasts.
+	Image  string        `json:"image,omitempty"`
+	Target time.Duration `json:"target,omitempty"`
+	// Fills says that the tasks take what processor time others leave; their CPU is not reserved.
+	Fills bool `json:"fills,omitempty"`
+	// MayMiss is how many tasks of a lasting step may be away at once through the scheduler's doing.
+	MayMiss int `json:"may_miss,omitempty"`
+	// Bounded says that MayMiss was given.
+	Bounded bool `json:"bounded,omitempty"`
+}
+
+// Reserved is what a task of the step takes of its worker's room.
+func (s Step) Reserved() Need {
+	n := s.Need
+	if s.Fills {
+		n.CPU = 0
+	}
+	return n
+}
+
+// Job is what a caller submitted.
+type Job struct {
+	ID ID `json:"-"`
+	// Queue names the queue, Team who submitted it (empty on an open queue), Service whose workers run it.
+	Queue   string `json:"queue"`
+	Team    string `json:"team,omitempty"`
+	Service string `json:"service"`
+	// Priority 0 goes first. Attempts bounds the failed runs of a task.
+	Priority int `json:"prio"`
+	Attempts int `json:"attempts"`
+	// Stretch and Aim give when the job is to be completed: Stretch times its longest chain, plus Aim.
+	Stretch float64       `json:"stretch"`
+	Aim     time.Duration `json:"aim"`
+	// Advised says that a start on this queue needs the advice service's ticket.
+	Advised bool `json:"advised,omitempty"`
+	// Spec is handed to the worker as it is.
+	Spec  string `json:"spec"`
+	Steps []Step `json:"steps"`
+	// Times is how often the steps run; time K is due at First + K x Every. Zero is once, at once.
+	Times int           `json:"times,omitempty"`
+	First time.Time     `json:"first,omitzero"`
+	Every time.Duration `json:"every,omitempty"`
+	// Accepted is when an entry took it, by that entry's clock.
+	Accepted time.Time `json:"accepted"`
+}
+
+// Validate returns a *fault.Field for the first field that will not do.
+func (j *Job) Validate() error {
+	if err := j.ID.Validate(); err != nil {
+		return err
+	}
+	if len(j.Spec) > MaxSpecBytes {
+		return fault.BadField("spec", "want at most %d bytes, got %d", MaxSpecBytes, len(j.Spec))
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fault.BadField("steps", "want 1 to %d, got %d", MaxSteps, len(j.Steps))
+	}
+	if j.Times < 0 || j.Times > MaxTimes {
+		return fault.BadField("times", "want 0 to %d, got %d", MaxTimes, j.Times)
+	}
+	if j.Times > 1 && j.Every < 0 {
+		return fault.BadField("every", "want 0 or more, got %v", j.Every)
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		if err := s.validate(i); err != nil {
+			return err
+		}
+		tasks += s.Tasks
+	}
+	if tasks > MaxTasks {
+		return fault.BadField("steps", "want at most %d tasks in all, got %d", MaxTasks, tasks)
+	}
+	return nil
+}
+
+func (s Step) validate(number int) error {
+	field := func(name, format string, args ...any) error {
+		return fault.BadField(fmt.Sprintf("steps.%d.%s", number, name), format, args...)
+	}
+	if s.Tasks < 1 {
+		return field("tasks", "want 1 or more, got %d", s.Tasks)
+	}
+	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.Accelerators < 0 {
+		return field("need", "want no negative amounts, got %+v", s.Need)
+	}
+	if s.Estimate < 0 || s.PerWorker < 0 || s.MayMiss < 0 {
+		return field("estimate", "want no negative amounts")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= number {
+			return field("after", "want numbers of earlier steps, got %d", a)
+		}
+	}
+	return nil
+}
+
+// Rounds is how often the steps run.
+func (j *Job) Rounds() int { return max(j.Times, 1) }
+
+// DueAt is when round k may start.
+func (j *Job) DueAt(k int) time.Time {
+	if j.Times == 0 {
+		return time.Time{}
+	}
+	return j.First.Add(time.Duration(k) * j.Every)
+}
+
+// Chain is the longest chain of estimated work.
+func (j *Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i, s := range j.Steps {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Objective is when round k is to be completed.
+func (j *Job) Objective(k int) time.Time {
+	from := j.Accepted
+	if j.Times > 0 {
+		from = j.DueAt(k)
+	}
+	return from.Add(time.Duration(j.Stretch*float64(j.Chain())) + j.Aim)
+}
+
+// Lasting reports whether a step of the job lasts until it is cancelled.
+func (j *Job) Lasting() bool {
+	for _, s := range j.Steps {
+		if s.Lasts {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/job/progress.go
@@ -0,0 +1,343 @@
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// TaskName names a task: job, round, step and index.
+type TaskName struct {
+	Job   ID
+	Round int
+	Step  int
+	Index int
+}
+
+// String is the form in which workers and logs know the task.
+func (t TaskName) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index)
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (t TaskName) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (t *TaskName) UnmarshalText(text []byte) error {
+	parsed, err := ParseTaskName(string(text))
+	if err == nil {
+		*t = parsed
+	}
+	return err
+}
+
+// ParseTaskName is the reverse of String.
+func ParseTaskName(text string) (TaskName, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskName{}, fmt.Errorf("job.ParseTaskName: %q has %d parts, want 4", text, len(parts))
+	}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return TaskName{}, fmt.Errorf("job.ParseTaskName: %q is not a number", p)
+		}
+		numbers[i] = n
+	}
+	return TaskName{Job: ID(parts[0]), Round: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+// Phase is what a caller is told of a job.
+type Phase byte
+
+// The phases. The first two may still change.
+const (
+	Queued    Phase = 'q'
+	Running   Phase = 'r'
+	Completed Phase = 'c'
+	Failed    Phase = 'f'
+	Cancelled Phase = 'x'
+)
+
+// Final reports whether the phase never changes again.
+func (p Phase) Final() bool { return p == Completed || p == Failed || p == Cancelled }
+
+// String is the phase in words.
+func (p Phase) String() string {
+	switch p {
+	case Queued:
+		return "queued"
+	case Running:
+		return "running"
+	case Completed:
+		return "completed"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
+
+// Ending is how a run ended.
+type Ending string
+
+// The endings. Only Done counts as success and only Failed as an attempt; the others are the system's or a worker's doing.
+const (
+	EndDone    Ending = "done"
+	EndFailed  Ending = "failed"
+	EndStopped Ending = "stopped"
+	EndLapsed  Ending = "lapsed"
+	EndBroken  Ending = "broken"
+	EndAlone   Ending = "alone"
+	// EndLost is the ending of a run whose worker is gone or whose lease is surely over.
+	EndLost Ending = "lost"
+	// EndRefused is the ending of a run that a worker did not start and never will.
+	EndRefused Ending = "refused"
+)
+
+// Task is what has become of a task.
+type Task struct {
+	// Run is the number of its newest run, from 1; the members of a gang share it.
+	Run int `json:"r"`
+	// Worker and Life say where that run is; both are empty when the task is not placed. It takes room there until its
+	// end is known.
+	Worker string `json:"w,omitempty"`
+	Life   string `json:"l,omitempty"`
+	// Failures counts runs that failed; FailedRun is the newest of them.
+	Failures  int  `json:"f,omitempty"`
+	FailedRun int  `json:"fr,omitempty"`
+	Done      bool `json:"d,omitempty"`
+	// Saved is the newest checkpoint; it is opaque.
+	Saved string `json:"s,omitempty"`
+	// Avoid is the worker on which it last failed.
+	Avoid string `json:"a,omitempty"`
+}
+
+// Placed reports whether a run of the task takes room on a worker.
+func (t *Task) Placed() bool { return t.Worker != "" }
+
+// slot is a task within its job.
+type slot struct{ round, step, index int }
+
+// Progress is what has become of a job. The zero value won't do; use NewProgress.
+type Progress struct {
+	Phase Phase
+	// EndedAt is when the phase became final, by the dispatcher's clock.
+	EndedAt time.Time
+	tasks   map[slot]*Task
+}
+
+// NewProgress is the progress of a job of which nothing has begun.
+func NewProgress() *Progress { return &Progress{Phase: Queued, tasks: map[slot]*Task{}} }
+
+// Task returns what has become of a task, or nil if nothing has.
+func (p *Progress) Task(t TaskName) *Task { return p.tasks[slot{t.Round, t.Step, t.Index}] }
+
+func (p *Progress) touch(t TaskName) *Task {
+	s := slot{t.Round, t.Step, t.Index}
+	if p.tasks[s] == nil {
+		p.tasks[s] = &Task{}
+	}
+	return p.tasks[s]
+}
+
+// Placed calls f for each task that takes room on a worker, in no order.
+func (p *Progress) Placed(id ID, f func(TaskName, *Task)) {
+	for s, t := range p.tasks {
+		if t.Placed() {
+			f(TaskName{Job: id, Round: s.round, Step: s.step, Index: s.index}, t)
+		}
+	}
+}
+
+// AnyPlaced reports whether a task of the job takes room on a worker.
+func (p *Progress) AnyPlaced() bool {
+	for _, t := range p.tasks {
+		if t.Placed() {
+			return true
+		}
+	}
+	return false
+}
+
+// Assign places a new run of the task on a life of a worker.
+func (p *Progress) Assign(name TaskName, run int, worker, life string) {
+	t := p.touch(name)
+	t.Run, t.Worker, t.Life = run, worker, life
+	if p.Phase == Queued {
+		p.Phase = Running
+	}
+}
+
+// NextRun is the number of the next run of a step's waiting tasks: above each that any of them has had.
+func (p *Progress) NextRun(names []TaskName) int {
+	run := 0
+	for _, n := range names {
+		if t := p.Task(n); t != nil {
+			run = max(run, t.Run)
+		}
+	}
+	return run + 1
+}
+
+// stepNames lists the tasks of a step.
+func (j *Job) stepNames(round, step int) []TaskName {
+	names := make([]TaskName, j.Steps[step].Tasks)
+	for i := range names {
+		names[i] = TaskName{Job: j.ID, Round: round, Step: step, Index: i}
+	}
+	return names
+}
+
+// End takes note of the end of a run. It returns false, and changes nothing, unless that run is the one that is placed on
+// that life.
+func (p *Progress) End(j *Job, name TaskName, run int, life string, how Ending, saved string) bool {
+	t := p.Task(name)
+	if t == nil || !t.Placed() || t.Run != run || t.Life != life || name.Step >= len(j.Steps) {
+		return false
+	}
+	worker := t.Worker
+	t.Worker, t.Life = "", ""
+	step := j.Steps[name.Step]
+	members := []TaskName{name}
+	if step.Gang {
+		members = j.stepNames(name.Round, name.Step)
+	}
+	switch how {
+	case EndDone:
+		if step.Lasts {
+			break
+		}
+		for _, m := range members {
+			p.touch(m).Done = true
+		}
+	case EndFailed:
+		t.Avoid = worker
+		p.fail(members, run, step)
+	}
+	if saved != "" && !t.Done {
+		for _, m := range members {
+			p.touch(m).Saved = saved
+		}
+	}
+	p.settle(j)
+	return true
+}
+
+// fail counts one attempt of the task, or of its gang.
+func (p *Progress) fail(members []TaskName, run int, step Step) {
+	if step.Lasts {
+		return
+	}
+	for _, m := range members {
+		t := p.touch(m)
+		// Several members of a gang may say that they failed in one run, which is one attempt.
+		if t.Run != run || t.FailedRun == run {
+			continue
+		}
+		t.FailedRun = run
+		t.Failures++
+	}
+}
+
+// settle sets the phase from the tasks.
+func (p *Progress) settle(j *Job) {
+	if p.Phase.Final() {
+		return
+	}
+	for _, t := range p.tasks {
+		if j.Attempts > 0 && t.Failures >= j.Attempts && !t.Done {
+			p.Phase = Failed
+			return
+		}
+	}
+	if p.allDone(j) {
+		p.Phase = Completed
+	}
+}
+
+func (p *Progress) allDone(j *Job) bool {
+	for round := range j.Rounds() {
+		for step := range j.Steps {
+			if !p.stepDone(j, round, step) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (p *Progress) stepDone(j *Job, round, step int) bool {
+	for i := range j.Steps[step].Tasks {
+		t := p.tasks[slot{round, step, i}]
+		if t == nil || !t.Done {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel makes the job cancelled unless its phase is final.
+func (p *Progress) Cancel() {
+	if !p.Phase.Final() {
+		p.Phase = Cancelled
+	}
+}
+
+// Unit is what is placed at once: a whole gang, or one task.
+type Unit struct {
+	Round int
+	Step  int
+	Tasks []TaskName
+}
+
+// Waiting returns the units that may start now: their round is due (early at most before), their step's dependencies are
+// done, and nothing of them is placed.
+func (j *Job) Waiting(p *Progress, now time.Time, early time.Duration) []Unit {
+	if p.Phase.Final() {
+		return nil
+	}
+	var units []Unit
+	for round := range j.Rounds() {
+		if j.DueAt(round).After(now.Add(early)) {
+			break
+		}
+		for step := range j.Steps {
+			if j.depends(p, round, step) {
+				units = append(units, j.waitingOf(p, round, step)...)
+			}
+		}
+	}
+	return units
+}
+
+func (j *Job) depends(p *Progress, round, step int) bool {
+	for _, a := range j.Steps[step].After {
+		if !p.stepDone(j, round, a) {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *Job) waitingOf(p *Progress, round, step int) []Unit {
+	names := j.stepNames(round, step)
+	if j.Steps[step].Gang {
+		for _, n := range names {
+			if t := p.Task(n); t != nil && (t.Done || t.Placed()) {
+				return nil
+			}
+		}
+		return []Unit{{Round: round, Step: step, Tasks: names}}
+	}
+	var units []Unit
+	for _, n := range names {
+		if t := p.Task(n); t == nil || !t.Done && !t.Placed() {
+			units = append(units, Unit{Round: round, Step: step, Tasks: []TaskName{n}})
+		}
+	}
+	return units
+}
--- /dev/null
+++ b/jobstore/directory.go
@@ -0,0 +1,153 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// entryPrefix is the prefix of the keys under which entries say where they are reached.
+const entryPrefix = "e/"
+
+// directoryWait is how long a read of the directory waits for news, which are rare.
+const directoryWait = 20 * time.Second
+
+// Directory follows the small topic that says which entries there are and who is the dispatcher. Agents read it instead of
+// the jobs.
+type Directory struct {
+	log Log
+
+	mu      sync.Mutex
+	office  Office
+	entries map[string]string
+	loaded  bool
+	next    int64
+	changed chan struct{}
+}
+
+// NewDirectory returns a directory that knows nothing yet.
+func NewDirectory(log Log) *Directory {
+	return &Directory{log: log, entries: map[string]string{}, changed: make(chan struct{})}
+}
+
+// Run follows the topic until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := d.step(ctx); err != nil {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func (d *Directory) step(ctx context.Context) error {
+	if !d.loaded {
+		batch, err := d.log.Newest(ctx)
+		if err != nil {
+			return err
+		}
+		d.take(batch.Records, batch.End)
+		d.loaded = true
+		return nil
+	}
+	batch, err := d.log.Read(ctx, d.next, directoryWait)
+	if errors.Is(err, ErrExpired) {
+		d.loaded = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	d.take(batch.Records, d.next+int64(len(batch.Records)))
+	if len(batch.Records) == 0 && batch.End <= d.next {
+		// An answer that came early has nothing to read; it must not be asked for again at once.
+		pause(ctx, retryPause)
+	}
+	return nil
+}
+
+func (d *Directory) take(records []Stored, next int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.next = next
+	for _, r := range records {
+		if name, ok := strings.CutPrefix(r.Key, entryPrefix); ok {
+			d.entries[name] = string(r.Value)
+			continue
+		}
+		if o, err := decodeOffice(r.Value); r.Key == officeKey && err == nil && o.Term >= d.office.Term {
+			d.office = o
+		}
+	}
+	if len(records) > 0 {
+		close(d.changed)
+		d.changed = make(chan struct{})
+	}
+}
+
+// Learn takes over who is the dispatcher from another source.
+func (d *Directory) Learn(o Office) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o.Term > d.office.Term {
+		d.office = o
+		close(d.changed)
+		d.changed = make(chan struct{})
+	}
+}
+
+// Office returns who is the dispatcher, as far as is known.
+func (d *Directory) Office() Office {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.office
+}
+
+// Changed is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Entries returns the addresses of the entries, in the order of their names.
+func (d *Directory) Entries() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
+	for _, name := range slices.Sorted(maps.Keys(d.entries)) {
+		addresses = append(addresses, d.entries[name])
+	}
+	return addresses
+}
+
+// AnnounceEntry says where an entry is reached, and tries until that is kept.
+func AnnounceEntry(ctx context.Context, log Log, name, address string) {
+	record := Record{Key: entryPrefix + name, Value: []byte(address)}
+	announce(ctx, log, record, Condition{})
+}
+
+// AnnounceOffice says who is the dispatcher, and tries until that is kept or a later term has been announced.
+func AnnounceOffice(ctx context.Context, log Log, o Office) {
+	record, err := OfficeRecord(o)
+	if err == nil {
+		announce(ctx, log, record, Condition{Producer: TermOf(o.Term, 0)})
+	}
+}
+
+func announce(ctx context.Context, log Log, record Record, c Condition) {
+	for ctx.Err() == nil {
+		attempt, cancel := context.WithTimeout(ctx, announceTimeout)
+		_, err := log.Append(attempt, []Record{record}, c)
+		cancel()
+		if err == nil || errors.Is(err, ErrFenced) {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+const announceTimeout = time.Second
--- /dev/null
+++ b/jobstore/log.go
@@ -0,0 +1,84 @@
+// Package jobstore keeps what must last about jobs in one keyed topic of a log that others run: submissions, cancels, the
+// progress of each job, and who is the dispatcher in office.
+//
+// The newest record of each key counts. A Replica follows the topic and holds the newest record of each key; it says how
+// old its proof is that nothing newer exists. All writers are told apart by their keys: any entry writes submissions and
+// cancels, only the dispatcher in office writes progress. The log shuts out the writes of a dispatcher that has been
+// succeeded, because they carry its term.
+//
+// # Usage
+//
+//	r := jobstore.NewReplica(log, logger)
+//	go r.Run(ctx)
+//	<-r.Changed()
+//	submitted := r.Submission(id)
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Record is a key with its value. No value drops the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Stored is a record with its place in the topic.
+type Stored struct {
+	Record
+	Offset int64
+}
+
+// Batch is what a read returned.
+type Batch struct {
+	Records []Stored
+	// End is the offset that the next record will get.
+	End int64
+}
+
+// Producer lets the log drop the doubles of a writer and shut out its predecessors.
+type Producer struct {
+	Name string
+	// Epoch is the writer's term. Sequence numbers the calls of a term from 0.
+	Epoch    int64
+	Sequence int64
+}
+
+// Condition says when an append counts.
+type Condition struct {
+	// At is the end that the topic must have, if Exact is set.
+	At    int64
+	Exact bool
+	// Producer is nil for a writer whose records may come twice.
+	Producer *Producer
+}
+
+// Log is the topic as the log's service offers it.
+type Log interface {
+	// Append adds the records, all or none, and returns the offset of the first.
+	Append(ctx context.Context, records []Record, c Condition) (int64, error)
+	// Read returns records from an offset on; with none there it waits for the first.
+	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
+	// Newest returns the newest record of each key. Records from End on may be missing or be there already.
+	Newest(ctx context.Context) (Batch, error)
+}
+
+// Errors that callers tell apart. After any other error an append may have been done, or may still be done.
+var (
+	// ErrRefused says that the log did nothing.
+	ErrRefused = errors.New("the log refused; nothing was done")
+	// ErrConflict says that the topic does not end where the condition wants it.
+	ErrConflict = errors.New("the topic ends elsewhere; nothing was done")
+	// ErrFenced says that a writer of a later term has written.
+	ErrFenced = errors.New("a later term has begun; nothing was done")
+	// ErrExpired says that records from the offset on are gone.
+	ErrExpired = errors.New("records from this offset on are gone")
+)
+
+// NotDone reports whether err says that an append was not done and never will be.
+func NotDone(err error) bool {
+	return errors.Is(err, ErrRefused) || errors.Is(err, ErrConflict) || errors.Is(err, ErrFenced)
+}
--- /dev/null
+++ b/jobstore/replica.go
@@ -0,0 +1,304 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// Pace of a replica.
+const (
+	// readWait is how long a read waits for news. Each answered read renews the proof that nothing newer exists.
+	readWait = time.Second
+	// retryPause is the pause after a failed read.
+	retryPause = 100 * time.Millisecond
+)
+
+// entry is what a replica knows of one job.
+type entry struct {
+	submission, cancel, progress                   []byte
+	submissionOffset, cancelOffset, progressOffset int64
+	queue                                          string
+	lasting                                        bool
+}
+
+// Replica holds the newest record of each key. Its methods may be called from any goroutine.
+type Replica struct {
+	log    Log
+	logger zerolog.Logger
+
+	mu      sync.Mutex
+	jobs    map[job.ID]*entry
+	office  Office
+	next    int64
+	loaded  bool
+	proof   time.Time
+	sign    time.Time
+	changed chan struct{}
+	// fresh holds the jobs whose submission or cancel came since Take.
+	fresh map[job.ID]bool
+	lost  time.Time
+}
+
+// NewReplica returns a replica that knows nothing yet.
+func NewReplica(log Log, logger zerolog.Logger) *Replica {
+	return &Replica{log: log, logger: logger, jobs: map[job.ID]*entry{}, fresh: map[job.ID]bool{}, changed: make(chan struct{})}
+}
+
+// Run follows the topic until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.step(ctx); err != nil {
+			r.noteLost(err)
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// step loads the newest records once, or reads on.
+func (r *Replica) step(ctx context.Context) error {
+	r.mu.Lock()
+	loaded, next := r.loaded, r.next
+	r.mu.Unlock()
+	sent := time.Now()
+	if !loaded {
+		batch, err := r.log.Newest(ctx)
+		if err != nil {
+			return err
+		}
+		r.load(batch)
+		return nil
+	}
+	batch, err := r.log.Read(ctx, next, readWait)
+	if errors.Is(err, ErrExpired) {
+		r.mu.Lock()
+		r.loaded = false
+		r.mu.Unlock()
+		r.logger.Info().Str("step", "jobstore.read").Int64("offset", next).Msg("records have expired; loading the newest")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	r.apply(batch, sent)
+	return nil
+}
+
+func (r *Replica) noteLost(err error) {
+	r.mu.Lock()
+	first := r.lost.IsZero()
+	if first {
+		r.lost = time.Now()
+	}
+	r.mu.Unlock()
+	if first {
+		r.logger.Warn().Str("step", "jobstore.read").Err(err).Msg("the log does not answer")
+	}
+}
+
+// load replaces all by the newest records of each key.
+func (r *Replica) load(b Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.jobs
+	r.jobs = map[job.ID]*entry{}
+	for _, s := range b.Records {
+		r.applyOne(s)
+	}
+	for id := range old {
+		r.fresh[id] = true
+	}
+	r.next, r.loaded = b.End, true
+	r.logger.Info().Str("step", "jobstore.load").Int("jobs", len(r.jobs)).Int64("offset", b.End).Msg("newest records loaded")
+	r.wake()
+}
+
+func (r *Replica) apply(b Batch, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.lost.IsZero() {
+		r.logger.Info().Str("step", "jobstore.read").Dur("away_ms", time.Since(r.lost)).Msg("the log answers again")
+		r.lost = time.Time{}
+	}
+	for _, s := range b.Records {
+		r.applyOne(s)
+	}
+	r.next += int64(len(b.Records))
+	if r.next >= b.End {
+		first := r.proof.IsZero()
+		r.proof = sent
+		if first {
+			r.wake()
+		}
+	}
+	if len(b.Records) > 0 {
+		r.wake()
+	}
+}
+
+// Note takes records over that this process has appended itself, before they come back by a read.
+func (r *Replica) Note(records []Record, first int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, record := range records {
+		r.applyOne(Stored{Record: record, Offset: first + int64(i)})
+	}
+	r.wake()
+}
+
+func (r *Replica) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Replica) applyOne(s Stored) {
+	if s.Key == officeKey {
+		o, err := decodeOffice(s.Value)
+		if err == nil && o.Term >= r.office.Term {
+			r.office, r.sign = o, time.Now()
+		}
+		return
+	}
+	prefix, id, ok := jobKey(s.Key)
+	if !ok {
+		return
+	}
+	e := r.jobs[id]
+	if e == nil {
+		e = &entry{submissionOffset: -1, cancelOffset: -1, progressOffset: -1}
+		r.jobs[id] = e
+	}
+	switch {
+	case prefix == submissionPrefix && s.Offset > e.submissionOffset:
+		r.applySubmission(id, e, s)
+	case prefix == cancelPrefix && s.Offset > e.cancelOffset:
+		e.cancel, e.cancelOffset = s.Value, s.Offset
+		r.fresh[id] = true
+	case prefix == progressPrefix && s.Offset > e.progressOffset:
+		e.progress, e.progressOffset = s.Value, s.Offset
+		r.sign = time.Now()
+	}
+	if e.submission == nil && e.progress == nil && e.cancel == nil {
+		delete(r.jobs, id)
+	}
+}
+
+// applySubmission keeps the first submission of a job: a second one is a retry of it.
+func (r *Replica) applySubmission(id job.ID, e *entry, s Stored) {
+	e.submissionOffset = s.Offset
+	r.fresh[id] = true
+	if s.Value == nil {
+		e.submission = nil
+		return
+	}
+	if e.submission != nil {
+		return
+	}
+	e.submission = s.Value
+	if j, err := job.Decode(id, s.Value); err == nil {
+		e.queue, e.lasting = j.Queue, j.Lasting()
+	}
+}
+
+// Changed is closed at the next change.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Proof is when the newest read was sent whose answer had nothing left to read; zero if there was none.
+func (r *Replica) Proof() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proof
+}
+
+// Office returns who is the dispatcher, when a sign of it was last seen, and the offset up to which this is known.
+func (r *Replica) Office() (o Office, sign time.Time, next int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.office, r.sign, r.next
+}
+
+// Phase returns the phase of a job, and false if none is known under the ID.
+func (r *Replica) Phase(id job.ID) (job.Phase, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.jobs[id]
+	if e == nil || e.submission == nil {
+		return 0, false
+	}
+	return e.phase(), true
+}
+
+func (e *entry) phase() job.Phase {
+	p := job.PhaseOf(e.progress)
+	if !p.Final() && e.cancel != nil {
+		return job.Cancelled
+	}
+	return p
+}
+
+// Pending counts the jobs of a queue none of whose tasks has begun.
+func (r *Replica) Pending(queue string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.jobs {
+		if e.submission != nil && e.queue == queue && e.phase() == job.Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// View is all that is stored of a job.
+type View struct {
+	ID         job.ID
+	Submission []byte
+	Cancelled  bool
+	Progress   []byte
+}
+
+// All returns all jobs, and forgets which have changed.
+func (r *Replica) All() []View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	views := make([]View, 0, len(r.jobs))
+	for id, e := range r.jobs {
+		views = append(views, e.view(id))
+	}
+	clear(r.fresh)
+	return views
+}
+
+// Take returns the jobs whose submission or cancel came since All or Take.
+func (r *Replica) Take() []View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var views []View
+	for id := range r.fresh {
+		if e := r.jobs[id]; e != nil {
+			views = append(views, e.view(id))
+		}
+	}
+	clear(r.fresh)
+	return views
+}
+
+func (e *entry) view(id job.ID) View {
+	return View{ID: id, Submission: e.submission, Cancelled: e.cancel != nil, Progress: e.progress}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/runner/listing.go
@@ -0,0 +1,159 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// listLoop asks the worker what it runs, again and again; an answer comes as soon as a run ends.
+func (r *Runner) listLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !r.list(ctx, listWait) {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// extendLoop extends the lease when the dispatcher has given a longer one, and has kept ends forgotten.
+func (r *Runner) extendLoop(ctx context.Context) {
+	for {
+		select {
+		case <-r.extend:
+		case <-ctx.Done():
+			return
+		}
+		if !r.list(ctx, 0) {
+			pause(ctx, retryPause)
+			r.mu.Lock()
+			again := r.life != nil
+			r.mu.Unlock()
+			if again {
+				signal(r.extend)
+			}
+		}
+	}
+}
+
+// list makes one call to the worker and takes its answer over. It returns false if that failed.
+func (r *Runner) list(ctx context.Context, wait time.Duration) bool {
+	r.mu.Lock()
+	order, ok := r.order()
+	now := time.Now()
+	until, _ := r.deadline(now)
+	seen, generation := r.seen, r.generation
+	before := r.snapshot()
+	r.mu.Unlock()
+	if !ok {
+		return false
+	}
+	attempt, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
+	listing, clock, err := r.parts.Worker.Hold(attempt, order, until, seen, wait)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if generation != r.generation {
+		return true
+	}
+	switch {
+	case errors.Is(err, ErrOtherLife):
+		r.endLife("the worker is in another life")
+		return false
+	case err != nil:
+		r.judgeSilence(time.Now())
+		return false
+	}
+	fresh := r.readAt.IsZero()
+	r.noteClock(clock)
+	if order.Fence != r.fence {
+		return true
+	}
+	if fresh {
+		// The first answer told the clock; only now a lease can be given.
+		signal(r.extend)
+	}
+	r.takeListing(listing, before)
+	return true
+}
+
+// snapshot is the set of runs that were there before a call. The lock must be held.
+func (r *Runner) snapshot() map[assignment.RunID]bool {
+	before := make(map[assignment.RunID]bool, len(r.runs))
+	for id, k := range r.runs {
+		if k.phase == there {
+			before[id] = true
+		}
+	}
+	return before
+}
+
+// takeListing takes over what the worker says. Runs that were there before the call and are not listed have ended; their
+// ends are listed too, or were forgotten. The lock must be held.
+func (r *Runner) takeListing(l Listing, before map[assignment.RunID]bool) {
+	news := !r.listed
+	r.listed = true
+	listed := make(map[assignment.RunID]bool, len(l.Runs))
+	for _, run := range l.Runs {
+		listed[run.RunID] = true
+		if r.ended[run.Task] >= run.Run {
+			// An answer that was overtaken by a newer one.
+			continue
+		}
+		k := r.runs[run.RunID]
+		if k == nil {
+			k = &known{started: time.Now()}
+			r.runs[run.RunID] = k
+			news = true
+		}
+		k.phase, k.percent, k.saved = there, run.Percent, run.Saved
+	}
+	for _, e := range l.Ends {
+		if e.Number <= r.seen {
+			continue
+		}
+		if _, ok := r.ends[e.Number]; !ok {
+			r.ends[e.Number] = e
+			news = true
+			r.parts.Logger.Info().Str("step", "runner.list").Stringer("task", e.Task).Int("run", e.Run).Str("how", string(e.How)).
+				Int64("number", e.Number).Msg("run ended")
+		}
+		r.noteEnded(e.RunID)
+	}
+	for id := range before {
+		if k := r.runs[id]; k != nil && k.phase == there && !listed[id] {
+			r.noteEnded(id)
+		}
+	}
+	if news {
+		signal(r.report)
+	}
+}
+
+func (r *Runner) noteEnded(id assignment.RunID) {
+	delete(r.runs, id)
+	r.ended[id.Task] = max(r.ended[id.Task], id.Run)
+}
+
+// judgeSilence ends a life whose worker gives no answer, once every lease that it may have heard of is over. The lock
+// must be held.
+func (r *Runner) judgeSilence(now time.Time) {
+	if r.life == nil || r.told.IsZero() || len(r.runs) == 0 && len(r.ends) == 0 {
+		return
+	}
+	left := r.told.Sub(r.answers)
+	over := r.answers.Add(time.Duration(float64(left) * (1 + r.settings.Drift))).Add(silenceMargin)
+	if now.After(over) && now.Sub(r.answers) > silenceMargin && !r.over[r.life.ID] {
+		r.parts.Logger.Warn().Str("step", "runner.judgeSilence").Str("life", r.life.ID).Msg("worker is silent and its lease is over")
+		r.over[r.life.ID] = true
+		signal(r.report)
+	}
+}
+
+// silenceMargin is added to the end of a silent worker's lease.
+const silenceMargin = 300 * time.Millisecond
+
+// endedTask reports whether the run, or a later one of its task, has ended in this life. The lock must be held.
+func (r *Runner) endedTask(name job.TaskName, run int) bool { return r.ended[name] >= run }
--- /dev/null
+++ b/runner/orders.go
@@ -0,0 +1,191 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+)
+
+// maxBusy is how often a start is tried on a worker that does nothing, before the dispatcher is told.
+const maxBusy = 8
+
+// beginStart starts a run in the background unless it is known already. The lock must be held.
+func (r *Runner) beginStart(ctx context.Context, s assignment.Start) {
+	if r.runs[s.RunID] != nil || r.endedTask(s.Task, s.Run) || r.life == nil || r.life.Leaving {
+		if r.life != nil && r.life.Leaving && r.runs[s.RunID] == nil && !r.endedTask(s.Task, s.Run) {
+			r.refuse(s.RunID, "the worker leaves")
+		}
+		return
+	}
+	r.runs[s.RunID] = &known{phase: starting, percent: -1, started: time.Now()}
+	generation := r.generation
+	r.work.Go(func() { r.start(ctx, s, generation) })
+}
+
+// start tries until it is settled whether the run is there.
+func (r *Runner) start(ctx context.Context, s assignment.Start, generation int) {
+	for busy := 0; ctx.Err() == nil; {
+		r.mu.Lock()
+		k := r.runs[s.RunID]
+		order, ok := r.order()
+		until, leased := r.deadline(time.Now())
+		gone := generation != r.generation || k == nil || k.phase == there || k.stopping
+		r.mu.Unlock()
+		if gone {
+			return
+		}
+		if !ok || !leased {
+			pause(ctx, retryPause)
+			continue
+		}
+		attempt, cancel := context.WithTimeout(ctx, callTimeout)
+		clock, err := r.parts.Worker.Start(attempt, order, s, until)
+		cancel()
+		if r.settleStart(ctx, s, generation, clock, err, &busy) {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// settleStart takes over the answer to a start, and reports whether there is nothing left to try.
+func (r *Runner) settleStart(ctx context.Context, s assignment.Start, generation int, clock int64, err error, busy *int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if generation != r.generation {
+		return true
+	}
+	k := r.runs[s.RunID]
+	if k == nil {
+		return true
+	}
+	r.noteClock(clock)
+	r.parts.Logger.Info().Str("step", "runner.start").Stringer("task", s.Task).Int("run", s.Run).Err(err).Msg("start ordered")
+	switch {
+	case err == nil:
+		k.phase, k.percent = there, 0
+		return true
+	case errors.Is(err, ErrOtherLife):
+		r.endLife("the worker is in another life")
+		return true
+	case errors.Is(err, ErrOld):
+		r.noteEnded(s.RunID)
+		r.refuse(s.RunID, "old")
+		return true
+	case errors.Is(err, ErrNoRoom):
+		r.beginStopThen(ctx, s.RunID, "room")
+		return true
+	case errors.Is(err, ErrRejected):
+		r.beginStopThen(ctx, s.RunID, "rejected")
+		return true
+	case errors.Is(err, ErrBusy):
+		if *busy++; *busy >= maxBusy {
+			r.beginStopThen(ctx, s.RunID, "busy")
+			return true
+		}
+	}
+	return false
+}
+
+// refuse notes that a run will never start here. The lock must be held.
+func (r *Runner) refuse(id assignment.RunID, reason string) {
+	r.noteEnded(id)
+	r.refused[id] = reason
+	signal(r.report)
+}
+
+// beginStop stops a run in the background. The lock must be held.
+func (r *Runner) beginStop(ctx context.Context, id assignment.RunID) {
+	r.beginStopThen(ctx, id, "stopped")
+}
+
+// beginStopThen stops a run in the background; if it turns out that it never was there, it is refused with the reason.
+func (r *Runner) beginStopThen(ctx context.Context, id assignment.RunID, reason string) {
+	if r.endedTask(id.Task, id.Run) || r.life == nil {
+		return
+	}
+	k := r.runs[id]
+	if k == nil {
+		k = &known{phase: starting, percent: -1, started: time.Now()}
+		r.runs[id] = k
+	}
+	if k.stopping {
+		return
+	}
+	k.stopping = true
+	generation := r.generation
+	r.work.Go(func() { r.stop(ctx, id, generation, reason) })
+}
+
+// stop tries until the worker has heard it, and then looks whether the run was there at all.
+func (r *Runner) stop(ctx context.Context, id assignment.RunID, generation int, reason string) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		order, ok := r.order()
+		gone := generation != r.generation || r.runs[id] == nil
+		r.mu.Unlock()
+		if gone {
+			return
+		}
+		if !ok {
+			pause(ctx, retryPause)
+			continue
+		}
+		attempt, cancel := context.WithTimeout(ctx, callTimeout)
+		clock, err := r.parts.Worker.Stop(attempt, order, id)
+		cancel()
+		r.mu.Lock()
+		if generation != r.generation {
+			r.mu.Unlock()
+			return
+		}
+		r.noteClock(clock)
+		r.parts.Logger.Info().Str("step", "runner.stop").Stringer("task", id.Task).Int("run", id.Run).Err(err).Msg("stop ordered")
+		if errors.Is(err, ErrOtherLife) {
+			r.endLife("the worker is in another life")
+		}
+		r.mu.Unlock()
+		if err == nil && r.settleStop(ctx, id, generation, reason) {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// settleStop looks whether a run that was told to stop is there. If it is neither running nor among the ends, it never
+// was, and never will be.
+func (r *Runner) settleStop(ctx context.Context, id assignment.RunID, generation int, reason string) bool {
+	r.mu.Lock()
+	order, ok := r.order()
+	seen := r.seen
+	r.mu.Unlock()
+	if !ok {
+		return false
+	}
+	attempt, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	listing, clock, err := r.parts.Worker.Hold(attempt, order, 0, seen, 0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if generation != r.generation || r.runs[id] == nil {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	r.noteClock(clock)
+	for _, run := range listing.Runs {
+		if run.RunID == id {
+			// It ends soon; the listings will show it.
+			r.runs[id].phase = there
+			return true
+		}
+	}
+	r.takeListing(listing, nil)
+	if r.runs[id] != nil {
+		r.refuse(id, reason)
+	}
+	return true
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,331 @@
+package runner
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// Settings of a runner.
+type Settings struct {
+	// Name is that of the worker's box; Agent names this life of the process.
+	Name  string
+	Agent string
+	// Lease is the longest that a worker keeps a run without an extension.
+	Lease time.Duration
+	// Drift is the most by which the worker's clock may be slow, as a share.
+	Drift float64
+}
+
+// Dispatcher finds the dispatcher and carries polls to it.
+type Dispatcher interface {
+	// Poll carries a poll to the dispatcher in office and returns its answer.
+	Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error)
+}
+
+// Parts are what a runner works with.
+type Parts struct {
+	Worker     Worker
+	Dispatcher Dispatcher
+	Logger     zerolog.Logger
+}
+
+// Pace of a runner.
+const (
+	// listWait is how long a worker holds a listing when nothing ends.
+	listWait = time.Second
+	// callTimeout bounds a call to the worker beside, on top of what it may wait.
+	callTimeout = 700 * time.Millisecond
+	retryPause  = 100 * time.Millisecond
+	// pollTimeout bounds a poll: the dispatcher holds one for half a second.
+	pollTimeout = 1800 * time.Millisecond
+)
+
+// phase is how far a run is with the worker, as the agent knows.
+type phase int
+
+const (
+	starting phase = iota
+	there
+)
+
+// known is a run that the agent knows of.
+type known struct {
+	phase   phase
+	percent int
+	saved   string
+	// stopping says that a stop is under way.
+	stopping bool
+	started  time.Time
+}
+
+// Runner keeps one worker running what the dispatcher wants.
+type Runner struct {
+	settings Settings
+	parts    Parts
+
+	mu   sync.Mutex
+	life *assignment.Life
+	// former are lives that are over; Over of them is told until the dispatcher has heard it.
+	former map[string]bool
+	over   map[string]bool
+	term   int64
+	fence  int64
+	// until is the end of the lease that the dispatcher gave.
+	until time.Time
+	// clock is the worker's clock at the time read.
+	clock  int64
+	readAt time.Time
+	// told is the latest end of a lease that the worker may have heard.
+	told    time.Time
+	answers time.Time
+	listed  bool
+	runs    map[assignment.RunID]*known
+	ends    map[int64]assignment.End
+	refused map[assignment.RunID]string
+	// ended holds the highest run of each task that has ended or was refused in this life.
+	ended    map[job.TaskName]int
+	seen     int64
+	sequence int64
+	// generation counts lives, so that what was under way for an earlier one is dropped.
+	generation int
+
+	report chan struct{}
+	extend chan struct{}
+	work   *conc.WaitGroup
+}
+
+// New returns a runner. Run starts it.
+func New(s Settings, p Parts) *Runner {
+	r := &Runner{
+		settings: s, parts: p, former: map[string]bool{}, over: map[string]bool{},
+		report: make(chan struct{}, 1), extend: make(chan struct{}, 1), work: conc.NewWaitGroup(),
+	}
+	r.reset()
+	return r
+}
+
+// reset forgets what was known of a life. The lock must be held, but in New.
+func (r *Runner) reset() {
+	r.runs, r.ends = map[assignment.RunID]*known{}, map[int64]assignment.End{}
+	r.refused, r.ended = map[assignment.RunID]string{}, map[job.TaskName]int{}
+	r.seen, r.listed, r.readAt, r.told = 0, false, time.Time{}, time.Time{}
+	r.generation++
+}
+
+// Run works until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	wg.Go(func() { r.pollLoop(ctx, true, nil) })
+	wg.Go(func() { r.pollLoop(ctx, false, r.report) })
+	wg.Go(func() { r.listLoop(ctx) })
+	wg.Go(func() { r.extendLoop(ctx) })
+	wg.Wait()
+	r.work.Wait()
+}
+
+// Heartbeat takes over what the worker says of itself. It returns false for a life that is over.
+func (r *Runner) Heartbeat(l assignment.Life) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.former[l.ID] {
+		return false
+	}
+	news := r.life == nil || r.life.ID != l.ID || r.life.Leaving != l.Leaving
+	if r.life != nil && r.life.ID != l.ID {
+		r.endLife("another life reports")
+	}
+	if r.life == nil {
+		r.parts.Logger.Info().Str("step", "runner.heartbeat").Str("life", l.ID).Msg("worker reports")
+	} else if news {
+		r.parts.Logger.Info().Str("step", "runner.heartbeat").Str("life", l.ID).Int64("leaves_in_ms", l.LeavesIn).Msg("worker leaves")
+	}
+	r.life = &l
+	if news {
+		signal(r.report)
+		signal(r.extend)
+	}
+	return true
+}
+
+// Gone takes note of a worker that says it ends.
+func (r *Runner) Gone(life string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.former[life], r.over[life] = true, true
+	if r.life != nil && r.life.ID == life {
+		r.endLife("the worker has left")
+	}
+}
+
+// endLife ends the present life. The lock must be held.
+func (r *Runner) endLife(why string) {
+	r.parts.Logger.Info().Str("step", "runner.endLife").Str("life", r.life.ID).Str("why", why).Int("runs", len(r.runs)).Msg("life is over")
+	r.former[r.life.ID], r.over[r.life.ID] = true, true
+	r.life = nil
+	r.reset()
+	signal(r.report)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// pollLoop polls the dispatcher: one loop waits there for orders, the other one brings news at once.
+func (r *Runner) pollLoop(ctx context.Context, wait bool, news chan struct{}) {
+	for ctx.Err() == nil {
+		if news != nil {
+			select {
+			case <-news:
+			case <-ctx.Done():
+				return
+			}
+		}
+		poll, generation := r.poll(wait)
+		sent := time.Now()
+		attempt, cancel := context.WithTimeout(ctx, pollTimeout)
+		answer, err := r.parts.Dispatcher.Poll(attempt, poll)
+		cancel()
+		if err != nil {
+			pause(ctx, retryPause)
+			if news != nil {
+				signal(news)
+			}
+			continue
+		}
+		r.obey(ctx, answer, sent, generation, poll)
+		if wait && !poll.Listed {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// poll says how things stand.
+func (r *Runner) poll(wait bool) (assignment.Poll, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	p := assignment.Poll{
+		Worker: r.settings.Name, Agent: r.settings.Agent, Sequence: r.sequence, Term: r.term, Listed: r.listed,
+		Seen: r.seen, Wait: wait, Over: slices.Sorted(maps.Keys(r.over)),
+	}
+	if r.life != nil {
+		life := *r.life
+		p.Life = &life
+	}
+	if !r.listed {
+		return p, r.generation
+	}
+	for id, k := range r.runs {
+		p.Runs = append(p.Runs, assignment.Run{RunID: id, Percent: k.percent, Saved: k.saved})
+	}
+	for _, n := range slices.Sorted(maps.Keys(r.ends)) {
+		p.Ends = append(p.Ends, r.ends[n])
+	}
+	for id, reason := range r.refused {
+		p.Refused = append(p.Refused, assignment.Refusal{RunID: id, Reason: reason})
+	}
+	return p, r.generation
+}
+
+// obey takes over a dispatcher's answer to a poll.
+func (r *Runner) obey(ctx context.Context, a assignment.Answer, sent time.Time, generation int, poll assignment.Poll) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.Term < r.term {
+		return
+	}
+	if a.Term > r.term {
+		r.parts.Logger.Info().Str("step", "runner.obey").Int64("term", a.Term).Int64("fence", a.Fence).Msg("dispatcher is followed")
+		// What was refused or listed under the old term is told again; the fence must reach the worker first.
+		r.term = a.Term
+	}
+	if a.Fence > r.fence {
+		r.fence, r.listed = a.Fence, false
+		signal(r.extend)
+	}
+	for _, life := range poll.Over {
+		delete(r.over, life)
+	}
+	if until := sent.Add(a.Held() + a.Lease()); a.LeaseMillis > 0 && until.After(r.until) {
+		r.until = until
+		signal(r.extend)
+	}
+	if generation != r.generation || r.life == nil || a.Life != r.life.ID {
+		return
+	}
+	for _, refusal := range poll.Refused {
+		// The dispatcher has heard it; if it still wants the run, that was decided before.
+		if !wants(a, refusal.RunID) {
+			delete(r.refused, refusal.RunID)
+		}
+	}
+	if a.Seen > r.seen {
+		r.seen = a.Seen
+		maps.DeleteFunc(r.ends, func(n int64, _ assignment.End) bool { return n <= a.Seen })
+		signal(r.extend)
+	}
+	for _, id := range a.Stop {
+		r.beginStop(ctx, id)
+	}
+	for _, s := range a.Start {
+		r.beginStart(ctx, s)
+	}
+}
+
+func wants(a assignment.Answer, id assignment.RunID) bool {
+	return slices.ContainsFunc(a.Start, func(s assignment.Start) bool { return s.RunID == id })
+}
+
+// order returns what comes with a call, or false if there is nothing to call with. The lock must be held.
+func (r *Runner) order() (Order, bool) {
+	if r.life == nil || r.fence == 0 {
+		return Order{}, false
+	}
+	return Order{Life: r.life.ID, Fence: r.fence}, true
+}
+
+// deadline is the end of the lease by the worker's clock, and false if there is none. The lock must be held.
+func (r *Runner) deadline(now time.Time) (int64, bool) {
+	if r.readAt.IsZero() || !now.Before(r.until) {
+		return 0, false
+	}
+	until := r.until
+	if longest := now.Add(r.settings.Lease); until.After(longest) {
+		until = longest
+	}
+	if until.After(r.told) {
+		r.told = until
+	}
+	return r.clock + until.Sub(r.readAt).Milliseconds(), true
+}
+
+// noteClock keeps a reading of the worker's clock. The lock must be held.
+func (r *Runner) noteClock(clock int64) {
+	if clock <= 0 {
+		return
+	}
+	now := time.Now()
+	r.clock, r.readAt, r.answers = clock, now, now
+}
+
+// pause waits, or returns early when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/runner/worker.go
@@ -0,0 +1,66 @@
+// Package runner is the agent's side of jobs: it keeps one worker running what the dispatcher wants.
+//
+// A Runner polls the dispatcher (see package assignment), starts and stops runs on its worker, keeps them alive by a lease
+// that is never longer than the one the dispatcher gave, reports what runs and what has ended, and tells the worker to
+// forget an end only when the dispatcher has kept it. It decides nothing: after a restart it knows nothing, and learns
+// all from the worker and the dispatcher.
+//
+// Every order carries a fence, which rises with each life of an agent and each term of a dispatcher, so what an earlier
+// agent had under way has no effect once the worker has heard of the new one.
+//
+// # Usage
+//
+//	r := runner.New(settings, parts)
+//	go r.Run(ctx)
+//	r.Heartbeat(life)          // from the worker, about every second
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+)
+
+// Order is what comes with each call to a worker: the life it is meant for and the fence.
+type Order struct {
+	Life  string
+	Fence int64
+}
+
+// Listing is what a worker says of itself.
+type Listing struct {
+	Runs []assignment.Run
+	Ends []assignment.End
+}
+
+// Worker is the worker beside the agent. Times are by the worker's own clock, in milliseconds: each answer tells it, and
+// a lease ends at such a time.
+type Worker interface {
+	// Start starts a run. After an error other than those below it may have been started, or may still be.
+	Start(ctx context.Context, o Order, s assignment.Start, until int64) (clock int64, err error)
+	// Stop stops a run, and makes sure that it never starts if it has not.
+	Stop(ctx context.Context, o Order, id assignment.RunID) (clock int64, err error)
+	// Hold extends the lease of all runs, forgets the ends up to seen, and lists the rest. It waits for an end up to wait.
+	// An until of zero extends nothing.
+	Hold(ctx context.Context, o Order, until, seen int64, wait time.Duration) (Listing, int64, error)
+}
+
+// What a worker may answer.
+var (
+	// ErrOtherLife says that the worker is in another life.
+	ErrOtherLife = errors.New("the worker is in another life")
+	// ErrFenced says that the worker has heard of a higher fence.
+	ErrFenced = errors.New("the worker has heard of a higher fence")
+	// ErrOld says that the run, or a later one, has been there.
+	ErrOld = errors.New("the run has been there")
+	// ErrLate says that the lease of the order was over.
+	ErrLate = errors.New("the lease of the order was over")
+	// ErrNoRoom says that the run does not fit.
+	ErrNoRoom = errors.New("there is no room")
+	// ErrBusy says that the worker did nothing, because it is not well.
+	ErrBusy = errors.New("the worker did nothing")
+	// ErrRejected says that the worker will never start it as it is.
+	ErrRejected = errors.New("the worker rejects the order")
+)
