What a silent worker may have heard no longer grows; an agent without a worker gets no lease

Its agent went on sending longer leases into the silence, so the end of what the worker may have heard moved on with them; and an agent that had restarted beside a dead worker was given leases, so the dispatcher did not count the worker as silent either. Change: after 1.5 s of silence nothing is extended; an agent that knows no worker gets no lease.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -164,6 +164,10 @@
 	}
 	now := time.Now()
 	lease := d.lease(now)
+	if poll.Life == nil {
+		// An agent that knows no worker has nothing to extend; what an earlier agent left there runs out.
+		lease = 0
+	}
 	a = assignment.Answer{
 		Term: d.term, Fence: p.fence,
 		HeldMillis: now.Sub(arrived).Milliseconds(), LeaseMillis: lease.Milliseconds(),
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -45,6 +45,8 @@
 	// callTimeout bounds a call to the worker beside, on top of what it may wait.
 	callTimeout = 700 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
+	// silentAfter is how long a worker may give no answer before nothing is extended on it any more.
+	silentAfter = 1500 * time.Millisecond
 	// pollTimeout bounds a poll: the dispatcher holds one for half a second.
 	pollTimeout = 1800 * time.Millisecond
 )
@@ -296,9 +298,11 @@
 	return Order{Life: r.life.ID, Fence: r.fence}, true
 }
 
-// deadline is the end of the lease by the worker's clock, and false if there is none. The lock must be held.
+// deadline is the end of the lease by the worker's clock, and false if there is none: the dispatcher has given none, or
+// the worker has been silent, in which case what it may have heard must not grow, or it would never be over. The lock
+// must be held.
 func (r *Runner) deadline(now time.Time) (int64, bool) {
-	if r.readAt.IsZero() || !now.Before(r.until) {
+	if r.readAt.IsZero() || !now.Before(r.until) || now.Sub(r.answers) > silentAfter {
 		return 0, false
 	}
 	until := r.until
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -98,6 +98,9 @@
 // formatValue quotes what would not read as one value.
 func formatValue(v any) string {
 	text := fmt.Sprintf("%v", v)
+	if raw, ok := v.([]byte); ok {
+		text = string(raw)
+	}
 	if text == "" || strings.ContainsAny(text, " =\"\n\t") {
 		return fmt.Sprintf("%q", strings.Trim(text, `"`))
 	}
