A refusal is told until it has been kept; a run that is over is told again to a dispatcher that insists

The dispatcher went on stopping a run that was over. Change: an answer says up to which poll all news are kept; refusals and ended lives are told until then. An agent that is asked for a run that is over says so again. An answer that was not held is followed by a pause of 30 ms.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -110,6 +110,9 @@
 	// Life is the life that Start, Stop and Seen are about; Seen is up to which end all is kept.
 	Life string `json:"life,omitempty"`
 	Seen int64  `json:"seen,omitempty"`
+	// Heard is the sequence number of the newest poll all of whose news are kept. Polls may overtake one another, and only
+	// the newest that has arrived is taken over.
+	Heard int64 `json:"heard,omitempty"`
 }
 
 // Held and Lease as durations.
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -32,6 +32,10 @@
 	life string
 	want map[job.TaskName]wanted
 	seen int64
+	// taken is the sequence number of the poll that the control goroutine took last, heard that of the one whose news it
+	// has kept.
+	taken int64
+	heard int64
 }
 
 // desk is where agents' polls meet the control goroutine. The handlers of polls read what was published and leave their
@@ -136,7 +140,7 @@
 		if p.agent != "" {
 			p.former[p.agent] = true
 		}
-		p.agent, p.sequence = poll.Agent, 0
+		p.agent, p.sequence, p.taken, p.heard = poll.Agent, 0, 0, 0
 		d.fences++
 		p.fence = d.term<<fenceBits + d.fences
 	}
@@ -170,7 +174,7 @@
 	}
 	a = assignment.Answer{
 		Term: d.term, Fence: p.fence,
-		HeldMillis: now.Sub(arrived).Milliseconds(), LeaseMillis: lease.Milliseconds(),
+		HeldMillis: now.Sub(arrived).Milliseconds(), LeaseMillis: lease.Milliseconds(), Heard: p.heard,
 	}
 	if lease > 0 {
 		p.granted = now
@@ -225,7 +229,7 @@
 	polls, granted = map[string]assignment.Poll{}, make(map[string]time.Time, len(d.places))
 	for name, p := range d.places {
 		if p.news {
-			polls[name], p.news = p.poll, false
+			polls[name], p.news, p.taken = p.poll, false, p.sequence
 		}
 		granted[name] = p.granted
 	}
@@ -245,7 +249,7 @@
 	defer d.mu.Unlock()
 	for name, p := range d.places {
 		news := all[name]
-		p.life, p.want, p.seen = news.life, news.want, news.seen
+		p.life, p.want, p.seen, p.heard = news.life, news.want, news.seen, p.taken
 	}
 	d.synced = true
 	d.announce()
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -145,9 +145,12 @@
 	}
 	left := r.told.Sub(r.answers)
 	over := r.answers.Add(time.Duration(float64(left) * (1 + r.settings.Drift))).Add(silenceMargin)
-	if now.After(over) && now.Sub(r.answers) > silenceMargin && !r.over[r.life.ID] {
+	if now.After(over) && now.Sub(r.answers) > silenceMargin {
+		if _, told := r.over[r.life.ID]; told {
+			return
+		}
 		r.parts.Logger.Warn().Str("step", "runner.judgeSilence").Str("life", r.life.ID).Msg("worker is silent and its lease is over")
-		r.over[r.life.ID] = true
+		r.over[r.life.ID] = r.sequence
 		signal(r.report)
 	}
 }
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -13,10 +13,15 @@
 
 // beginStart starts a run in the background unless it is known already. The lock must be held.
 func (r *Runner) beginStart(ctx context.Context, s assignment.Start) {
-	if r.runs[s.RunID] != nil || r.endedTask(s.Task, s.Run) || r.life == nil || r.life.Leaving {
-		if r.life != nil && r.life.Leaving && r.runs[s.RunID] == nil && !r.endedTask(s.Task, s.Run) {
-			r.refuse(s.RunID, "the worker leaves")
-		}
+	if r.life == nil || r.runs[s.RunID] != nil {
+		return
+	}
+	if r.endedTask(s.Task, s.Run) {
+		r.insist(s.RunID)
+		return
+	}
+	if r.life.Leaving {
+		r.refuse(s.RunID, "the worker leaves")
 		return
 	}
 	r.runs[s.RunID] = &known{phase: starting, percent: -1, started: time.Now()}
@@ -89,10 +94,23 @@
 	return false
 }
 
+// insist tells the dispatcher once more that a run is over which it still asks for, unless the end is about to be told
+// anyway. Where the order was only overtaken by the news of the end, the dispatcher passes over it. The lock must be held.
+func (r *Runner) insist(id assignment.RunID) {
+	for _, e := range r.ends {
+		if e.RunID == id {
+			return
+		}
+	}
+	if _, told := r.refused[id]; !told {
+		r.refuse(id, "over")
+	}
+}
+
 // refuse notes that a run will never start here. The lock must be held.
 func (r *Runner) refuse(id assignment.RunID, reason string) {
 	r.noteEnded(id)
-	r.refused[id] = reason
+	r.refused[id] = refusal{reason: reason, told: r.sequence}
 	signal(r.report)
 }
 
@@ -103,7 +121,11 @@
 
 // beginStopThen stops a run in the background; if it turns out that it never was there, it is refused with the reason.
 func (r *Runner) beginStopThen(ctx context.Context, id assignment.RunID, reason string) {
-	if r.endedTask(id.Task, id.Run) || r.life == nil {
+	if r.life == nil {
+		return
+	}
+	if r.endedTask(id.Task, id.Run) {
+		r.insist(id)
 		return
 	}
 	k := r.runs[id]
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -45,6 +45,9 @@
 	// callTimeout bounds a call to the worker beside, on top of what it may wait.
 	callTimeout = 700 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
+	// quickPause is the pause after an answer that was not held for quickAnswer.
+	quickAnswer = 5 * time.Millisecond
+	quickPause  = 30 * time.Millisecond
 	// silentAfter is how long a worker may give no answer before nothing is extended on it any more.
 	silentAfter = 1500 * time.Millisecond
 	// pollTimeout bounds a poll: the dispatcher holds one for half a second.
@@ -69,6 +72,12 @@
 	started  time.Time
 }
 
+// refusal is a run that will never start here. It is told until a poll later than the one numbered told has been heard.
+type refusal struct {
+	reason string
+	told   int64
+}
+
 // Runner keeps one worker running what the dispatcher wants.
 type Runner struct {
 	settings Settings
@@ -76,9 +85,10 @@
 
 	mu   sync.Mutex
 	life *assignment.Life
-	// former are lives that are over; Over of them is told until the dispatcher has heard it.
+	// former are lives that are over; over are those of which the dispatcher has not heard it yet, with the sequence
+	// number of the newest poll that did not say so.
 	former map[string]bool
-	over   map[string]bool
+	over   map[string]int64
 	term   int64
 	fence  int64
 	// until is the end of the lease that the dispatcher gave.
@@ -92,7 +102,7 @@
 	listed  bool
 	runs    map[assignment.RunID]*known
 	ends    map[int64]assignment.End
-	refused map[assignment.RunID]string
+	refused map[assignment.RunID]refusal
 	// ended holds the highest run of each task that has ended or was refused in this life.
 	ended    map[job.TaskName]int
 	seen     int64
@@ -108,7 +118,7 @@
 // New returns a runner. Run starts it.
 func New(s Settings, p Parts) *Runner {
 	r := &Runner{
-		settings: s, parts: p, former: map[string]bool{}, over: map[string]bool{},
+		settings: s, parts: p, former: map[string]bool{}, over: map[string]int64{},
 		report: make(chan struct{}, 1), extend: make(chan struct{}, 1), work: conc.NewWaitGroup(),
 	}
 	r.reset()
@@ -118,7 +128,7 @@
 // reset forgets what was known of a life. The lock must be held, but in New.
 func (r *Runner) reset() {
 	r.runs, r.ends = map[assignment.RunID]*known{}, map[int64]assignment.End{}
-	r.refused, r.ended = map[assignment.RunID]string{}, map[job.TaskName]int{}
+	r.refused, r.ended = map[assignment.RunID]refusal{}, map[job.TaskName]int{}
 	r.seen, r.listed, r.readAt, r.told = 0, false, time.Time{}, time.Time{}
 	r.generation++
 }
@@ -162,7 +172,7 @@
 func (r *Runner) Gone(life string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.former[life], r.over[life] = true, true
+	r.former[life], r.over[life] = true, r.sequence
 	if r.life != nil && r.life.ID == life {
 		r.endLife("the worker has left")
 	}
@@ -171,7 +181,7 @@
 // endLife ends the present life. The lock must be held.
 func (r *Runner) endLife(why string) {
 	r.parts.Logger.Info().Str("step", "runner.endLife").Str("life", r.life.ID).Str("why", why).Int("runs", len(r.runs)).Msg("life is over")
-	r.former[r.life.ID], r.over[r.life.ID] = true, true
+	r.former[r.life.ID], r.over[r.life.ID] = true, r.sequence
 	r.life = nil
 	r.reset()
 	signal(r.report)
@@ -206,9 +216,10 @@
 			}
 			continue
 		}
-		r.obey(ctx, answer, sent, generation, poll)
-		if wait && !poll.Listed {
-			pause(ctx, retryPause)
+		r.obey(ctx, answer, sent, generation)
+		if wait && answer.Held() < quickAnswer {
+			// Whatever was to be said has been said; asking at once again would only say it again.
+			pause(ctx, quickPause)
 		}
 	}
 }
@@ -235,14 +246,14 @@
 	for _, n := range slices.Sorted(maps.Keys(r.ends)) {
 		p.Ends = append(p.Ends, r.ends[n])
 	}
-	for id, reason := range r.refused {
-		p.Refused = append(p.Refused, assignment.Refusal{RunID: id, Reason: reason})
+	for id, refused := range r.refused {
+		p.Refused = append(p.Refused, assignment.Refusal{RunID: id, Reason: refused.reason})
 	}
 	return p, r.generation
 }
 
 // obey takes over a dispatcher's answer to a poll.
-func (r *Runner) obey(ctx context.Context, a assignment.Answer, sent time.Time, generation int, poll assignment.Poll) {
+func (r *Runner) obey(ctx context.Context, a assignment.Answer, sent time.Time, generation int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if a.Term < r.term {
@@ -257,9 +268,7 @@
 		r.fence, r.listed = a.Fence, false
 		signal(r.extend)
 	}
-	for _, life := range poll.Over {
-		delete(r.over, life)
-	}
+	maps.DeleteFunc(r.over, func(_ string, told int64) bool { return told < a.Heard })
 	if until := sent.Add(a.Held() + a.Lease()); a.LeaseMillis > 0 && until.After(r.until) {
 		r.until = until
 		signal(r.extend)
@@ -267,12 +276,7 @@
 	if generation != r.generation || r.life == nil || a.Life != r.life.ID {
 		return
 	}
-	for _, refusal := range poll.Refused {
-		// The dispatcher has heard it; if it still wants the run, that was decided before.
-		if !wants(a, refusal.RunID) {
-			delete(r.refused, refusal.RunID)
-		}
-	}
+	maps.DeleteFunc(r.refused, func(_ assignment.RunID, f refusal) bool { return f.told < a.Heard })
 	if a.Seen > r.seen {
 		r.seen = a.Seen
 		maps.DeleteFunc(r.ends, func(n int64, _ assignment.End) bool { return n <= a.Seen })
@@ -286,10 +290,6 @@
 	}
 }
 
-func wants(a assignment.Answer, id assignment.RunID) bool {
-	return slices.ContainsFunc(a.Start, func(s assignment.Start) bool { return s.RunID == id })
-}
-
 // order returns what comes with a call, or false if there is nothing to call with. The lock must be held.
 func (r *Runner) order() (Order, bool) {
 	if r.life == nil || r.fence == 0 {
