--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -12,12 +12,16 @@
 func runID(r *running) assignment.RunID { return assignment.RunID{Task: r.name, Run: r.run} }
 
 // preempt makes room for a unit of priority 0: it stops work that yields, in the domain in which that costs the least, and
-// keeps what is free there for the unit.
+// keeps what is free there for the unit. If room comes by itself early enough, it stops nothing.
 func (p *plan) preempt(w waiting) {
 	if at := p.find(w, true); at != nil {
 		p.keep(w, at)
 		return
 	}
+	if p.comesInTime(w) {
+		p.holdBack(w)
+		return
+	}
 	var best []*running
 	var bestDomain []*node
 	bestLoss := 0.0
@@ -38,6 +42,24 @@
 	}
 }
 
+// comesInTime reports whether the unit fits somewhere by itself so soon that it still ends in time, and starts early enough
+// for a guarantee.
+func (p *plan) comesInTime(w waiting) bool {
+	latest := w.due.Add(-w.step.Estimate)
+	if limit := w.tracked.job.Accepted.Add(patienceOfOwners); latest.After(limit) {
+		latest = limit
+	}
+	for _, domain := range p.domains(w) {
+		if at, ok := p.freeAt(w, domain); ok && at.Before(latest) {
+			return true
+		}
+	}
+	return false
+}
+
+// patienceOfOwners is how long after its acceptance a job of priority 0 may wait for room before work is stopped for it.
+const patienceOfOwners = 1200 * time.Millisecond
+
 // keep takes the unit's room off what others see, while what was told to stop still ends.
 func (p *plan) keep(w waiting, at []*node) {
 	for _, n := range at {
@@ -156,7 +178,7 @@
 		}
 	}
 	slices.SortStableFunc(groups, func(a, b group) int {
-		return cmp.Or(-cmp.Compare(a.rank, b.rank), cmp.Compare(a.loss, b.loss))
+		return cmp.Or(cmp.Compare(a.loss, b.loss), -cmp.Compare(a.rank, b.rank))
 	})
 	return groups
 }
