--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -123,4 +123,6 @@
 type Redirect struct {
 	Term    int64  `json:"term"`
 	Address string `json:"address"`
+	// Self names this life of the entry that answers.
+	Self string `json:"self"`
 }
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -62,7 +62,12 @@
 		f.loaded = true
 		return nil
 	}
-	batch, err := f.log.Read(ctx, f.next, readWait)
+	wait := readWait
+	if _, proof := f.Current(); proof.IsZero() {
+		// Nothing can be served before the first proof.
+		wait = 0
+	}
+	batch, err := f.log.Read(ctx, f.next, wait)
 	if errors.Is(err, jobstore.ErrExpired) {
 		f.loaded = false
 		return nil
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -72,7 +72,8 @@
 }
 
 func newJobEntry(s *platform.Settings, t *telemetry.Telemetry) *jobEntry {
-	store := platform.NewStore(s, newClient(t))
+	client := newClient(t)
+	store := platform.NewStore(s, client)
 	e := &jobEntry{settings: s, telemetry: t, directory: store.Topic(platform.OfficeTopic), leaving: make(chan struct{})}
 	jobs := store.Topic(platform.JobsTopic)
 	e.replica = jobstore.NewReplica(jobs, t.Log)
@@ -84,7 +85,7 @@
 	timing.Forget = s.Status() + time.Minute
 	e.dispatcher = dispatch.New(
 		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: s.InnerAddress(innerPlace), Timing: timing},
-		dispatch.Parts{Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.directory, Logger: t.Log},
+		dispatch.Parts{Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.directory, Client: client, Logger: t.Log},
 	)
 	return e
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -26,12 +26,16 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jsonhttp"
 )
 
 // Timing is the pace of a dispatcher and the bounds that others count on.
@@ -49,6 +53,8 @@
 	// without a sign.
 	Renew    time.Duration
 	Patience time.Duration
+	// Doubt is how long without a sign the others wait before they ask the holder whether it is still there.
+	Doubt time.Duration
 	// Silent is how long a worker may be silent and still get new work.
 	Silent time.Duration
 	// Forget is how long an ended job is kept.
@@ -59,7 +65,7 @@
 func DefaultTiming(lease time.Duration) Timing {
 	return Timing{
 		Lease: lease, Proof: 3 * time.Second, Drift: 0.03, Margin: 300 * time.Millisecond,
-		Hold: 500 * time.Millisecond, Renew: 400 * time.Millisecond, Patience: 1500 * time.Millisecond,
+		Hold: 500 * time.Millisecond, Renew: 400 * time.Millisecond, Patience: 1500 * time.Millisecond, Doubt: 600 * time.Millisecond,
 		Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute,
 	}
 }
@@ -84,7 +90,9 @@
 	Catalog *catalog.Follower
 	// Directory is the topic in which agents look for the dispatcher.
 	Directory jobstore.Log
-	Logger    zerolog.Logger
+	// Client calls other entries.
+	Client *http.Client
+	Logger zerolog.Logger
 }
 
 // Dispatcher waits for the office and holds it.
@@ -120,8 +128,8 @@
 // await returns when this entry holds a term above the one that it has lost.
 func (d *Dispatcher) await(ctx context.Context, lost int64) (jobstore.Office, bool) {
 	patience := d.settings.Timing.Patience + rand.N(d.settings.Timing.Patience/5)
-	started := time.Now()
-	claimed := time.Time{}
+	watching := time.Now()
+	var claimed, asked time.Time
 	for {
 		changed := d.parts.Replica.Changed()
 		office, sign, next := d.parts.Replica.Office()
@@ -130,12 +138,16 @@
 		}
 		proof := d.parts.Replica.Proof()
 		if sign.IsZero() {
-			sign = started.Add(-d.settings.Timing.Patience / 2)
+			sign = watching
 		}
-		// A proof that is younger than the patience after the newest sign: the holder's silence is not this entry's
-		// own deafness.
-		vacant := office.Holder == "" && office.Term > 0
-		if !proof.IsZero() && (vacant || proof.After(sign.Add(patience))) && time.Since(proof) < 2*patience && time.Since(claimed) > patience/2 {
+		// The proof must be younger than the sign by the time waited: the holder's silence is not this entry's own deafness.
+		silence := min(proof.Sub(sign), time.Since(sign))
+		vacant := !proof.IsZero() && office.Holder == "" || silence > patience
+		if !vacant && !proof.IsZero() && silence > d.settings.Timing.Doubt && time.Since(asked) > d.settings.Timing.Doubt/2 {
+			asked = time.Now()
+			vacant = d.holderIsGone(ctx, office)
+		}
+		if vacant && time.Since(proof) < 2*patience && time.Since(claimed) > patience/2 {
 			claimed = time.Now()
 			d.claim(ctx, office.Term+1, next)
 			continue
@@ -151,6 +163,25 @@
 	}
 }
 
+// holderIsGone asks the holder whether it is still there. Only an answer of another life, or none because nothing listens
+// there, says that it is not; the holder's silence says nothing.
+func (d *Dispatcher) holderIsGone(ctx context.Context, office jobstore.Office) bool {
+	if office.Address == d.settings.Address {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var r assignment.Redirect
+	err := jsonhttp.Call(ctx, d.parts.Client, "dispatch.ask", http.MethodGet, "http://"+office.Address, assignment.OfficePath, nil, &r)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return r.Self != office.Holder
+}
+
+// askTimeout bounds the question to a holder.
+const askTimeout = 300 * time.Millisecond
+
 // awaitTick is how often the silence of the holder is looked at.
 const awaitTick = 100 * time.Millisecond
 
--- a/dispatch/handler.go
+++ b/dispatch/handler.go
@@ -29,5 +29,5 @@
 
 func (d *Dispatcher) redirect() assignment.Redirect {
 	office, _, _ := d.parts.Replica.Office()
-	return assignment.Redirect{Term: office.Term, Address: office.Address}
+	return assignment.Redirect{Term: office.Term, Address: office.Address, Self: d.settings.Holder}
 }
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -74,7 +74,12 @@
 		r.load(batch)
 		return nil
 	}
-	batch, err := r.log.Read(ctx, next, readWait)
+	wait := readWait
+	if r.Proof().IsZero() {
+		// Nothing can be served before the first proof.
+		wait = 0
+	}
+	batch, err := r.log.Read(ctx, next, wait)
 	if errors.Is(err, ErrExpired) {
 		r.mu.Lock()
 		r.loaded = false
@@ -114,6 +119,8 @@
 		r.fresh[id] = true
 	}
 	r.next, r.loaded = b.End, true
+	// What was loaded may be old: it is no sign of life of the dispatcher.
+	r.sign = time.Time{}
 	r.logger.Info().Str("step", "jobstore.load").Int("jobs", len(r.jobs)).Int64("offset", b.End).Msg("newest records loaded")
 	r.wake()
 }
