A caller's record that gets no answer is kept by another entry

Change: jobstore.Keeper sends a submission or a cancel by this entry's own way, and by other entries' when that fails or takes 350 ms. An entry whose store has been silent for 1.2 s does not send at all, so that it can say for sure that nothing was kept.

--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -63,8 +63,10 @@
 type jobEntry struct {
 	settings   *platform.Settings
 	telemetry  *telemetry.Telemetry
-	directory  jobstore.Log
+	announced  jobstore.Log
+	directory  *jobstore.Directory
 	replica    *jobstore.Replica
+	keeper     *jobstore.Keeper
 	catalog    *catalog.Follower
 	intake     *intake.Intake
 	dispatcher *dispatch.Dispatcher
@@ -74,18 +76,20 @@
 func newJobEntry(s *platform.Settings, t *telemetry.Telemetry) *jobEntry {
 	client := newClient(t)
 	store := platform.NewStore(s, client)
-	e := &jobEntry{settings: s, telemetry: t, directory: store.Topic(platform.OfficeTopic), leaving: make(chan struct{})}
+	e := &jobEntry{settings: s, telemetry: t, announced: store.Topic(platform.OfficeTopic), leaving: make(chan struct{})}
+	e.directory = jobstore.NewDirectory(e.announced)
 	jobs := store.Topic(platform.JobsTopic)
 	e.replica = jobstore.NewReplica(jobs, t.Log)
 	e.catalog = catalog.NewFollower(store.Topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
+	e.keeper = jobstore.NewKeeper(jobs, e.replica, e.directory.Entries, s.InnerAddress(innerPlace), client, t.Log)
 	e.intake = intake.New(intake.Settings{KeyProof: s.Revoke()}, intake.Parts{
-		Log: jobs, Replica: e.replica, Catalog: e.catalog, Logger: t.Log,
+		Keeper: e.keeper, Replica: e.replica, Catalog: e.catalog, Logger: t.Log,
 	})
 	timing := dispatch.DefaultTiming(s.Hold())
 	timing.Forget = s.Status() + time.Minute
 	e.dispatcher = dispatch.New(
 		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: s.InnerAddress(innerPlace), Timing: timing},
-		dispatch.Parts{Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.directory, Client: client, Logger: t.Log},
+		dispatch.Parts{Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Client: client, Logger: t.Log},
 	)
 	return e
 }
@@ -101,9 +105,10 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { e.replica.Run(running) })
 	wg.Go(func() { e.catalog.Run(running) })
+	wg.Go(func() { e.directory.Run(running) })
 	wg.Go(func() { e.dispatcher.Run(running) })
 	wg.Go(func() {
-		jobstore.AnnounceEntry(running, e.directory, e.settings.Node, e.settings.InnerAddress(innerPlace))
+		jobstore.AnnounceEntry(running, e.announced, e.settings.Node, e.settings.InnerAddress(innerPlace))
 	})
 	e.telemetry.Log.Info().Str("step", "start").Str("zone", e.settings.Zone).Str("address", e.settings.InnerAddress(innerPlace)).Msg("entry starts")
 	<-ctx.Done()
@@ -129,6 +134,7 @@
 func (e *jobEntry) listen() ([]*http.Server, error) {
 	inner := httprouter.New()
 	inner.HandlerFunc(http.MethodPost, assignment.Path, e.dispatcher.ServePoll)
+	inner.HandlerFunc(http.MethodPost, jobstore.KeepPath, e.keeper.ServeKeep)
 	inner.HandlerFunc(http.MethodGet, assignment.OfficePath, e.dispatcher.ServeOffice)
 	handlers := map[string]http.Handler{
 		e.settings.Listen.Front:             platform.NewCallers(e.intake),
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -40,7 +40,8 @@
 
 // Times of a call.
 const (
-	appendTimeout = 1200 * time.Millisecond
+	// keepTimeout bounds how long a caller waits for a record to be kept; callers wait for some three seconds.
+	keepTimeout = 2200 * time.Millisecond
 	// jobsProof is how old the proof may be that all jobs are known when a job is said to be unknown.
 	jobsProof = 2500 * time.Millisecond
 	// keyMargin is taken off the age at which a proof of the configuration is too old, for what follows the look at it.
@@ -57,7 +58,7 @@
 
 // Parts are what an intake works with.
 type Parts struct {
-	Log     jobstore.Log
+	Keeper  *jobstore.Keeper
 	Replica *jobstore.Replica
 	Catalog *catalog.Follower
 	Logger  zerolog.Logger
@@ -122,14 +123,11 @@
 	if _, known := in.parts.Replica.Phase(j.ID); known {
 		return nil
 	}
-	if !in.jobsKnown() {
-		return ErrNotReady
-	}
 	record, err := jobstore.SubmissionRecord(j)
 	if err != nil {
 		return err
 	}
-	if err := in.append(ctx, record); err != nil {
+	if err := in.keep(ctx, record); err != nil {
 		in.refused(a, err)
 		return err
 	}
@@ -142,14 +140,13 @@
 	in.parts.Logger.Info().Str("step", "intake.submit").Str("job", string(a.Job)).Str("queue", a.Queue.Name).Err(err).Msg("job is not accepted")
 }
 
-// append keeps a record, or says whether nothing was done.
-func (in *Intake) append(ctx context.Context, record jobstore.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+// keep keeps a record, or says whether nothing was done.
+func (in *Intake) keep(ctx context.Context, record jobstore.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	offset, err := in.parts.Log.Append(ctx, []jobstore.Record{record}, jobstore.Condition{})
+	err := in.parts.Keeper.Keep(ctx, record)
 	switch {
 	case err == nil:
-		in.parts.Replica.Note([]jobstore.Record{record}, offset)
 		return nil
 	case jobstore.NotDone(err):
 		return errors.Join(ErrNotReady, err)
@@ -186,7 +183,7 @@
 	if phase.Final() {
 		return nil
 	}
-	if err := in.append(ctx, jobstore.CancelRecord(a.Job)); err != nil {
+	if err := in.keep(ctx, jobstore.CancelRecord(a.Job)); err != nil {
 		return err
 	}
 	in.parts.Logger.Info().Str("step", "intake.cancel").Str("job", string(a.Job)).Msg("cancel is kept")
--- /dev/null
+++ b/jobstore/keeper.go
@@ -0,0 +1,190 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/fault"
+	"yarrowgrade.example/yarrowgrade/jsonhttp"
+)
+
+// KeepPath is where an entry keeps a record for another one that does not reach the log.
+const KeepPath = "/internal/records"
+
+// Times of keeping a record.
+const (
+	// keepTimeout bounds one try.
+	keepTimeout = 700 * time.Millisecond
+	// hedgeAfter is how long a try may take before the next entry is asked beside it. The same record twice is harmless.
+	hedgeAfter = 350 * time.Millisecond
+	keepPause  = 150 * time.Millisecond
+	// keepProof is how old the last answer of the log may be so that a record is sent there. A log that has been silent
+	// for longer would leave it uncertain whether the record is kept.
+	keepProof = 1200 * time.Millisecond
+)
+
+// Keeper keeps callers' records, submissions and cancels, by this entry's own way to the log or by another entry's. Each
+// such record may be kept twice without harm, so a try without an answer is followed by another one.
+type Keeper struct {
+	log     Log
+	replica *Replica
+	// peers returns the addresses of all entries; self is this one's.
+	peers  func() []string
+	self   string
+	client *http.Client
+	logger zerolog.Logger
+}
+
+// NewKeeper returns a keeper.
+func NewKeeper(log Log, replica *Replica, peers func() []string, self string, client *http.Client, logger zerolog.Logger) *Keeper {
+	return &Keeper{log: log, replica: replica, peers: peers, self: self, client: client, logger: logger}
+}
+
+// kept is the answer to KeepPath.
+type kept struct {
+	Offset int64 `json:"offset"`
+}
+
+// try is one way to keep the record.
+type try func(ctx context.Context) (offset int64, err error)
+
+// outcome is what came of a try.
+type outcome struct {
+	offset int64
+	err    error
+}
+
+// Keep keeps a record. An error for which NotDone holds says that it is not kept and never will be; after any other one it
+// may be, or may still come to be.
+func (k *Keeper) Keep(ctx context.Context, record Record) error {
+	doubt := false
+	for {
+		offset, err := k.round(ctx, k.tries(record))
+		if err == nil {
+			k.replica.Note([]Record{record}, offset)
+			return nil
+		}
+		doubt = doubt || !NotDone(err)
+		if !doubt {
+			return err
+		}
+		pause(ctx, keepPause)
+		if ctx.Err() != nil {
+			return fmt.Errorf("jobstore.Keep: uncertain: %w", context.Cause(ctx))
+		}
+	}
+}
+
+// tries lists the ways, this entry's own one first if the log has answered lately.
+func (k *Keeper) tries(record Record) []try {
+	var tries []try
+	if k.reachesLog() {
+		tries = append(tries, func(ctx context.Context) (int64, error) {
+			return k.log.Append(ctx, []Record{record}, Condition{})
+		})
+	}
+	for _, address := range k.peers() {
+		if address != k.self {
+			tries = append(tries, func(ctx context.Context) (int64, error) { return k.ask(ctx, address, record) })
+		}
+	}
+	return tries
+}
+
+func (k *Keeper) reachesLog() bool {
+	proof := k.replica.Proof()
+	return !proof.IsZero() && time.Since(proof) < keepProof
+}
+
+// round tries the ways one after the other, the next one as soon as one has failed or takes long, until one succeeds.
+func (k *Keeper) round(ctx context.Context, tries []try) (int64, error) {
+	if len(tries) == 0 {
+		return 0, fmt.Errorf("%w: no way to the log", ErrRefused)
+	}
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout+time.Duration(len(tries))*hedgeAfter)
+	defer cancel()
+	results := make(chan outcome, len(tries))
+	started, open := 0, 0
+	begin := func() {
+		if started == len(tries) {
+			return
+		}
+		way := tries[started]
+		started++
+		open++
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+			defer cancel()
+			offset, err := way(ctx)
+			results <- outcome{offset: offset, err: err}
+		}()
+	}
+	var failed error
+	for begin(); open > 0; {
+		timer := time.NewTimer(hedgeAfter)
+		select {
+		case r := <-results:
+			open--
+			if r.err == nil {
+				timer.Stop()
+				return r.offset, nil
+			}
+			if failed == nil || NotDone(failed) {
+				failed = r.err
+			}
+			begin()
+		case <-timer.C:
+			begin()
+		}
+		timer.Stop()
+	}
+	return 0, failed
+}
+
+// ask has another entry keep the record.
+func (k *Keeper) ask(ctx context.Context, address string, record Record) (int64, error) {
+	var answer kept
+	err := jsonhttp.Call(ctx, k.client, "jobstore.ask", http.MethodPost, "http://"+address, KeepPath, record, &answer)
+	var status *jsonhttp.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusServiceUnavailable || fault.NotReached(err) {
+		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return answer.Offset, err
+}
+
+// ServeKeep keeps a record for another entry. 503 says that it is not kept, 504 that this is uncertain.
+func (k *Keeper) ServeKeep(w http.ResponseWriter, r *http.Request) {
+	var record Record
+	if err := jsonhttp.Read(w, r, &record); err != nil {
+		jsonhttp.WriteError(w, err)
+		return
+	}
+	if !strings.HasPrefix(record.Key, submissionPrefix) && !strings.HasPrefix(record.Key, cancelPrefix) {
+		jsonhttp.WriteError(w, &jsonhttp.StatusError{Status: http.StatusBadRequest, Message: "want a caller's record", Field: "Key"})
+		return
+	}
+	if !k.reachesLog() {
+		jsonhttp.WriteError(w, ErrRefused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), keepTimeout)
+	defer cancel()
+	offset, err := k.log.Append(ctx, []Record{record}, Condition{})
+	if err != nil {
+		code := http.StatusGatewayTimeout
+		if NotDone(err) {
+			code = http.StatusServiceUnavailable
+		}
+		jsonhttp.WriteError(w, &jsonhttp.StatusError{Status: code, Message: err.Error()})
+		return
+	}
+	k.replica.Note([]Record{record}, offset)
+	k.logger.Info().Str("step", "jobstore.keep").Str("key", record.Key).Int64("offset", offset).Msg("record is kept for another entry")
+	jsonhttp.Write(w, http.StatusOK, kept{Offset: offset})
+}
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -14,7 +14,7 @@
 // Pace of a replica.
 const (
 	// readWait is how long a read waits for news. Each answered read renews the proof that nothing newer exists.
-	readWait = time.Second
+	readWait = 500 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 100 * time.Millisecond
 )
