--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -83,6 +83,8 @@
 	Refused []Refusal `json:"refused,omitempty"`
 	// Over lists lives of which nothing runs any more.
 	Over []string `json:"over,omitempty"`
+	// Silent says that the worker gives no answer: nothing more should be placed on it, and nothing can be extended.
+	Silent bool `json:"silent,omitempty"`
 	// Seen is up to which end the agent has been told that it is kept.
 	Seen int64 `json:"seen,omitempty"`
 	// Wait says that the answer may be held until there is something to say.
@@ -106,8 +108,11 @@
 	HeldMillis  int64   `json:"held_ms"`
 	LeaseMillis int64   `json:"lease_ms"`
 	Start       []Start `json:"start,omitempty"`
-	Stop        []RunID `json:"stop,omitempty"`
-	// Life is the life that Start, Stop and Seen are about; Seen is up to which end all is kept.
+	// Stop lists runs of the poll that should not be there. Settle lists runs that the poll does not name and that are to
+	// stop all the same: their start may be under way, or the dispatcher has missed their end and waits for it.
+	Stop   []RunID `json:"stop,omitempty"`
+	Settle []RunID `json:"settle,omitempty"`
+	// Life is the life that Start, Stop, Settle and Seen are about; Seen is up to which end all is kept.
 	Life string `json:"life,omitempty"`
 	Seen int64  `json:"seen,omitempty"`
 	// Heard is the sequence number of the newest poll all of whose news are kept. Polls may overtake one another, and only
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -33,9 +33,11 @@
 	// leaves is the earliest time at which a leaving worker goes.
 	leaves time.Time
 	// runs are those that the worker has reported, ends the number up to which its ends are taken note of.
-	runs  map[assignment.RunID]observed
-	ends  int64
-	trust trust
+	runs map[assignment.RunID]observed
+	ends int64
+	// silent says that its agent gets no answer from it.
+	silent bool
+	trust  trust
 }
 
 // observed is what is known of a run that a worker has reported.
@@ -147,15 +149,19 @@
 	return w
 }
 
-// report takes over what an agent says.
+// report takes over what an agent says. Ends come before lives that are over: what has ended done there is done.
 func (c *control) report(now time.Time, w *worker, poll assignment.Poll) {
-	w.heard = now
+	w.heard, w.silent = now, poll.Silent
+	if poll.Life != nil && poll.Listed {
+		c.reportLife(now, w, poll)
+	}
 	for _, life := range poll.Over {
 		c.lose(w.name, life, "its life is over")
 	}
-	if poll.Life == nil || !poll.Listed {
-		return
-	}
+}
+
+// reportLife takes over what a worker that is there says by its agent.
+func (c *control) reportLife(now time.Time, w *worker, poll assignment.Poll) {
 	if w.life == nil || w.life.ID != poll.Life.ID {
 		c.newLife(w, poll.Life)
 	}
@@ -172,10 +178,11 @@
 		}
 	}
 	for _, r := range poll.Refused {
-		c.end(w, r.RunID, job.EndRefused, "")
-		c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Stringer("task", r.Task).Int("run", r.Run).
-			Str("reason", r.Reason).Msg("start refused")
-		w.trust.refused(now, r.Reason)
+		if c.end(w, r.RunID, job.EndRefused, "") {
+			c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Stringer("task", r.Task).Int("run", r.Run).
+				Str("reason", r.Reason).Msg("start refused")
+			w.trust.refused(now)
+		}
 	}
 }
 
@@ -207,15 +214,14 @@
 	w.runs = runs
 }
 
-// end takes note of the end of a run on the worker's present life.
-func (c *control) end(w *worker, id assignment.RunID, how job.Ending, saved string) {
+// end takes note of the end of a run on the worker's present life. It returns false if that run is not there.
+func (c *control) end(w *worker, id assignment.RunID, how job.Ending, saved string) bool {
 	t := c.jobs[id.Task.Job]
-	if t == nil {
-		return
-	}
-	if c.endTask(t, id.Task, id.Run, w.life.ID, how, saved) {
-		w.trust.ended(time.Now(), id.Task.Job, how)
+	if t == nil || !c.endTask(t, id.Task, id.Run, w.life.ID, how, saved) {
+		return false
 	}
+	w.trust.ended(time.Now(), id.Task.Job, how)
+	return true
 }
 
 func (c *control) endTask(t *tracked, name job.TaskName, run int, life string, how job.Ending, saved string) bool {
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -168,8 +168,8 @@
 	}
 	now := time.Now()
 	lease := d.lease(now)
-	if poll.Life == nil {
-		// An agent that knows no worker has nothing to extend; what an earlier agent left there runs out.
+	if poll.Life == nil || poll.Silent {
+		// An agent that does not reach a worker has nothing to extend; what an earlier agent left there runs out.
 		lease = 0
 	}
 	a = assignment.Answer{
@@ -187,18 +187,18 @@
 		return a, false, d.published, true
 	}
 	a.Life, a.Seen = p.life, p.seen
-	a.Start, a.Stop = p.difference(poll, lease > 0)
-	urgent = len(a.Start) > 0 || len(a.Stop) > 0 || a.Seen > poll.Seen
+	p.compare(poll, &a)
+	urgent = len(a.Start) > 0 || len(a.Stop) > 0 || len(a.Settle) > 0 || a.Seen > poll.Seen
 	return a, urgent, d.published, true
 }
 
-// difference returns what has to be started and stopped so that what runs is what is wanted.
-func (p *place) difference(poll assignment.Poll, may bool) (start []assignment.Start, stop []assignment.RunID) {
+// compare puts into the answer what has to be started and stopped so that what runs is what is wanted.
+func (p *place) compare(poll assignment.Poll, a *assignment.Answer) {
 	have := make(map[assignment.RunID]bool, len(poll.Runs)+len(poll.Ends)+len(poll.Refused))
 	for _, r := range poll.Runs {
 		have[r.RunID] = true
 		if w, ok := p.want[r.Task]; !ok || w.stopping || w.start.Run != r.Run {
-			stop = append(stop, r.RunID)
+			a.Stop = append(a.Stop, r.RunID)
 		}
 	}
 	for _, e := range poll.Ends {
@@ -207,19 +207,15 @@
 	for _, r := range poll.Refused {
 		have[r.RunID] = true
 	}
-	if !may {
-		return nil, stop
-	}
 	for _, w := range p.want {
-		if !w.stopping && !have[w.start.RunID] {
-			start = append(start, w.start)
-		}
-		if w.stopping && !have[w.start.RunID] {
-			// Its start may be under way: a stop makes sure that it never comes.
-			stop = append(stop, w.start.RunID)
+		switch {
+		case have[w.start.RunID]:
+		case w.stopping:
+			a.Settle = append(a.Settle, w.start.RunID)
+		case a.LeaseMillis > 0:
+			a.Start = append(a.Start, w.start)
 		}
 	}
-	return start, stop
 }
 
 // take returns the polls that are new since the last call, by worker, and when each worker was last granted a lease.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		n := &node{worker: w, free: w.life.Room, later: w.life.Room}
-		silent := p.now.Sub(w.heard) > p.c.timing.Silent
+		silent := w.silent || p.now.Sub(w.heard) > p.c.timing.Silent
 		n.usable = !silent && !w.life.Leaving && !w.trust.resting(p.now)
 		p.nodes = append(p.nodes, n)
 		p.byName[w.name] = n
--- a/dispatch/trust.go
+++ b/dispatch/trust.go
@@ -48,7 +48,7 @@
 }
 
 // refused takes note of a start that the worker refused.
-func (t *trust) refused(now time.Time, _ string) {
+func (t *trust) refused(now time.Time) {
 	if until := now.Add(refusalRest); until.After(t.until) {
 		t.until = until
 	}
--- a/hosting/standin/network.go
+++ b/hosting/standin/network.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -123,7 +124,7 @@
 var errReset = errors.New("connection reset")
 
 // errRefused says that the connection was never made.
-var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
+var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 
 func (n *Network) host(address string) *host {
 	n.mu.Lock()
--- /dev/null
+++ b/jobtest/log.go
@@ -0,0 +1,261 @@
+// Package jobtest holds stand-ins for tests of jobs: a keyed log that can be down, slow, and lose or delay what it was
+// asked, and workers that hold leases, count fences, keep gangs together and check the rules for what they are told.
+//
+// Both work on the runtime's clock, so that tests pause it.
+//
+// # Usage
+//
+//	log := jobtest.NewLog()
+//	replica := jobstore.NewReplica(log.Client("entry-1"), zerolog.Nop())
+//	log.SetFault("entry-1", jobtest.Fault{Silent: true})
+package jobtest
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/jobstore"
+)
+
+// Fault is how the log treats a client.
+type Fault struct {
+	// Silent gives no answer and does nothing; Refuse answers at once that nothing was done; Reset fails at once, and
+	// the call may have been done.
+	Silent bool
+	Refuse bool
+	Reset  bool
+	// Delay is added to each answer.
+	Delay time.Duration
+	// Lost is the share of appends that are done and not answered; with Late they are done some seconds later.
+	Lost float64
+	Late bool
+}
+
+// Log is a keyed topic in memory.
+type Log struct {
+	mu        sync.Mutex
+	records   []jobstore.Stored
+	first     int64
+	epochs    map[string]int64
+	sequences map[string]int64
+	answers   map[string]map[int64]int64
+	faults    map[string]Fault
+	random    *rand.Rand
+	changed   chan struct{}
+}
+
+// NewLog returns an empty topic without faults. The seed draws which answers are lost.
+func NewLog(seed uint64) *Log {
+	return &Log{
+		epochs: map[string]int64{}, sequences: map[string]int64{}, answers: map[string]map[int64]int64{},
+		faults: map[string]Fault{}, random: rand.New(rand.NewPCG(seed, 0)), changed: make(chan struct{}),
+	}
+}
+
+// SetFault sets how a client is treated. The empty name stands for all clients that have no fault of their own.
+func (l *Log) SetFault(client string, f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults[client] = f
+}
+
+// Heal ends all faults.
+func (l *Log) Heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.faults)
+}
+
+// Expire drops all records but the newest of each key.
+func (l *Log) Expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first = int64(len(l.records))
+}
+
+// Client returns the log as a process reaches it.
+func (l *Log) Client(name string) *LogClient { return &LogClient{log: l, name: name} }
+
+// LogClient is the log as one process reaches it. It implements jobstore.Log.
+type LogClient struct {
+	log  *Log
+	name string
+}
+
+var _ jobstore.Log = (*LogClient)(nil)
+
+// callDelay is what each call takes.
+const callDelay = 4 * time.Millisecond
+
+var errReset = errors.New("connection reset")
+
+// meet lets the client's fault strike before a call. It returns the fault for what strikes after it.
+func (c *LogClient) meet(ctx context.Context) (Fault, error) {
+	c.log.mu.Lock()
+	fault, ok := c.log.faults[c.name]
+	if !ok {
+		fault = c.log.faults[""]
+	}
+	c.log.mu.Unlock()
+	switch {
+	case fault.Silent:
+		<-ctx.Done()
+		return fault, ctx.Err()
+	case fault.Refuse:
+		return fault, jobstore.ErrRefused
+	}
+	return fault, sleep(ctx, callDelay+fault.Delay)
+}
+
+// Append implements jobstore.Log.
+func (c *LogClient) Append(ctx context.Context, records []jobstore.Record, condition jobstore.Condition) (int64, error) {
+	fault, err := c.meet(ctx)
+	if err != nil {
+		return 0, err
+	}
+	c.log.mu.Lock()
+	lost := c.log.random.Float64() < fault.Lost
+	late := time.Duration(1+c.log.random.IntN(5)) * time.Second
+	half := c.log.random.IntN(2) == 0
+	c.log.mu.Unlock()
+	switch {
+	case fault.Reset && half:
+		return 0, errReset
+	case lost && fault.Late:
+		go func() {
+			time.Sleep(late)
+			_, _ = c.log.append(records, condition)
+		}()
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	offset, err := c.log.append(records, condition)
+	if fault.Reset {
+		return 0, errReset
+	}
+	if lost {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return offset, err
+}
+
+// append carries an append out. As on the users' platform, a repeated number of a producer gets its first answer before
+// the other conditions are looked at.
+func (l *Log) append(records []jobstore.Record, condition jobstore.Condition) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := int64(len(l.records))
+	if p := condition.Producer; p != nil {
+		epoch, seen := l.epochs[p.Name]
+		if seen && p.Epoch < epoch {
+			return 0, jobstore.ErrFenced
+		}
+		if seen && p.Epoch == epoch {
+			if first, ok := l.answers[p.Name][p.Sequence]; ok {
+				return first, nil
+			}
+			if p.Sequence != l.sequences[p.Name]+1 {
+				return 0, jobstore.ErrFenced
+			}
+		}
+	}
+	if condition.Exact && condition.At != end {
+		return 0, jobstore.ErrConflict
+	}
+	if p := condition.Producer; p != nil {
+		if epoch, seen := l.epochs[p.Name]; !seen || p.Epoch > epoch {
+			l.answers[p.Name] = map[int64]int64{}
+		}
+		l.epochs[p.Name], l.sequences[p.Name] = p.Epoch, p.Sequence
+		l.answers[p.Name][p.Sequence] = end
+	}
+	for i, r := range records {
+		l.records = append(l.records, jobstore.Stored{Record: r, Offset: end + int64(i)})
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return end, nil
+}
+
+// Read implements jobstore.Log.
+func (c *LogClient) Read(ctx context.Context, from int64, wait time.Duration) (jobstore.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+1500*time.Millisecond)
+	defer cancel()
+	fault, err := c.meet(ctx)
+	if err != nil {
+		return jobstore.Batch{}, err
+	}
+	if fault.Reset {
+		return jobstore.Batch{}, errReset
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		batch, changed, err := c.log.read(from)
+		if err != nil || len(batch.Records) > 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return batch, nil
+		case <-ctx.Done():
+			return batch, ctx.Err()
+		}
+	}
+}
+
+func (l *Log) read(from int64) (jobstore.Batch, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := int64(len(l.records))
+	if from < l.first {
+		return jobstore.Batch{}, nil, jobstore.ErrExpired
+	}
+	batch := jobstore.Batch{End: end}
+	if from < end {
+		batch.Records = append(batch.Records, l.records[from:]...)
+	}
+	return batch, l.changed, nil
+}
+
+// Newest implements jobstore.Log.
+func (c *LogClient) Newest(ctx context.Context) (jobstore.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	fault, err := c.meet(ctx)
+	if err != nil {
+		return jobstore.Batch{}, err
+	}
+	if fault.Reset {
+		return jobstore.Batch{}, errReset
+	}
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	newest := map[string]jobstore.Stored{}
+	for _, r := range c.log.records {
+		newest[r.Key] = r
+	}
+	batch := jobstore.Batch{End: int64(len(c.log.records))}
+	for _, r := range newest {
+		if r.Value != nil {
+			batch.Records = append(batch.Records, r)
+		}
+	}
+	return batch, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/jobtest/rules.go
@@ -0,0 +1,116 @@
+package jobtest
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// breaks notes a broken rule. The lock must be held.
+func (ws *Workers) breaks(format string, args ...any) {
+	at := time.Since(ws.started).Round(time.Millisecond)
+	ws.Broken = append(ws.Broken, fmt.Sprintf("%v: ", at)+fmt.Sprintf(format, args...))
+}
+
+// check looks at a start that a worker is about to carry out. The lock must be held.
+func (ws *Workers) check(w *Worker, s assignment.Start) {
+	j := ws.jobs[s.Task.Job]
+	step := j.Steps[s.Task.Step]
+	for _, other := range ws.workers {
+		if r := other.runs[s.Task]; r != nil && other.up && other != w {
+			ws.breaks("TWICE: %v run %d starts on %s while run %d is on %s", s.Task, s.Run, w.name, r.id.Run, other.name)
+		}
+	}
+	if ws.acked[s.Task] && !step.Lasts {
+		ws.breaks("TWICE: %v run %d starts on %s after its end was taken note of", s.Task, s.Run, w.name)
+	}
+	for _, after := range step.After {
+		for i := range j.Steps[after].Tasks {
+			if !ws.done[job.TaskName{Job: j.ID, Round: s.Task.Round, Step: after, Index: i}] {
+				ws.breaks("ORDER: %v starts before step %d is done", s.Task, after)
+			}
+		}
+	}
+	if step.Label != "" && !slices.Contains(w.life.Labels, step.Label) {
+		ws.breaks("ROUTE: %v starts on %s, which has not the label %q", s.Task, w.name, step.Label)
+	}
+	if j.Service != w.life.Service {
+		ws.breaks("ROUTE: %v starts on %s, which serves %q", s.Task, w.name, w.life.Service)
+	}
+	ws.checkBound(w, s, step)
+	if j.Attempts > 0 && len(ws.failures[s.Task]) >= j.Attempts && !step.Lasts {
+		ws.breaks("BUDGET: %v run %d starts after %d failures", s.Task, s.Run, len(ws.failures[s.Task]))
+	}
+	if s.Spec != j.Spec {
+		ws.breaks("UNASKED: %v starts with the spec %q", s.Task, s.Spec)
+	}
+}
+
+func (ws *Workers) checkBound(w *Worker, s assignment.Start, step job.Step) {
+	if step.PerWorker == 0 {
+		return
+	}
+	there := 1
+	for name := range w.runs {
+		if name.Job == s.Task.Job && name.Round == s.Task.Round && name.Step == s.Task.Step {
+			there++
+		}
+	}
+	if there > step.PerWorker {
+		ws.breaks("ROUTE: %v is the %d. of its step on %s", s.Task, there, w.name)
+	}
+}
+
+// acknowledge notes that the scheduler has taken note of an end. The lock must be held.
+func (ws *Workers) acknowledge(e assignment.End) {
+	switch e.How {
+	case job.EndDone:
+		ws.acked[e.Task] = true
+	case job.EndFailed:
+		if ws.failures[e.Task] == nil {
+			ws.failures[e.Task] = map[int]bool{}
+		}
+		ws.failures[e.Task][e.Run] = true
+	}
+}
+
+// Report returns the broken rules.
+func (ws *Workers) Report() []string {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return slices.Clone(ws.Broken)
+}
+
+// AllDone reports whether each task of a job has ended done at a worker.
+func (ws *Workers) AllDone(id job.ID) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	j := ws.jobs[id]
+	for round := range j.Rounds() {
+		for step := range j.Steps {
+			for i := range j.Steps[step].Tasks {
+				if !ws.done[job.TaskName{Job: id, Round: round, Step: step, Index: i}] {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// AnyRun reports whether a task of a job runs somewhere.
+func (ws *Workers) AnyRun(id job.ID) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	for _, w := range ws.workers {
+		for name := range w.runs {
+			if name.Job == id && w.up {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/jobtest/system_test.go
@@ -0,0 +1,369 @@
+package jobtest_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/dispatch"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
+	"yarrowgrade.example/yarrowgrade/intake"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+	"yarrowgrade.example/yarrowgrade/runner"
+)
+
+// Shape of the system under test.
+const (
+	entryCount  = 3
+	workerCount = 6
+	rackSize    = 3
+	service     = "roster"
+	host        = "queues.example"
+	lease       = 6 * time.Second
+)
+
+var (
+	firstSeed = flag.Uint64("jobtest.seed", 1, "first seed of TestSystem")
+	seeds     = flag.Int("jobtest.seeds", 30, "number of seeds of TestSystem")
+)
+
+// process is an entry or an agent: it can be killed, and then another life of it started.
+type process struct {
+	name   string
+	life   int
+	cancel context.CancelFunc
+	intake *intake.Intake
+	runner *runner.Runner
+}
+
+// system is the real entries and agents on an in-memory network, log and workers.
+type system struct {
+	t         *testing.T
+	ctx       context.Context
+	logger    zerolog.Logger
+	random    *rand.Rand
+	log       *jobtest.Log
+	config    *jobtest.Log
+	directory *jobtest.Log
+	network   *standin.Network
+	workers   *jobtest.Workers
+	worker    []*jobtest.Worker
+	entries   []*process
+	agents    []*process
+	// accepted, refused and cancelled hold what callers were told.
+	accepted  map[job.ID]bool
+	refused   map[job.ID]bool
+	cancelled map[job.ID]bool
+	number    int
+}
+
+func newSystem(ctx context.Context, t *testing.T, seed uint64) *system {
+	s := &system{
+		t: t, ctx: ctx, logger: zerolog.Nop(), random: rand.New(rand.NewPCG(seed, 2)),
+		log: jobtest.NewLog(seed), config: jobtest.NewLog(seed + 1), directory: jobtest.NewLog(seed + 2),
+		network: standin.NewNetwork(), workers: jobtest.NewWorkers(seed),
+		accepted: map[job.ID]bool{}, refused: map[job.ID]bool{}, cancelled: map[job.ID]bool{},
+	}
+	if testing.Verbose() {
+		s.logger = zerolog.New(zerolog.NewTestWriter(t)).With().Timestamp().Logger()
+	}
+	s.workers.FailureShare = 0.03
+	record := []jobstore.Record{{Key: "config", Value: []byte("1")}}
+	if _, err := s.config.Client("operator").Append(ctx, record, jobstore.Condition{}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range workerCount {
+		room := job.Need{CPU: 16_000, Memory: 64_000, Accelerators: 8}
+		w := s.workers.Add(fmt.Sprintf("worker-%d", i), service, fmt.Sprintf("rack-%d", i/rackSize), room, "a")
+		s.worker = append(s.worker, w)
+		s.agents = append(s.agents, &process{name: fmt.Sprintf("worker-%d", i)})
+	}
+	for i := range entryCount {
+		s.entries = append(s.entries, &process{name: fmt.Sprintf("entry-%d", i)})
+	}
+	go s.workers.Run(ctx)
+	for i := range s.entries {
+		s.startEntry(i)
+	}
+	for i := range s.agents {
+		s.startAgent(i)
+	}
+	return s
+}
+
+// decodeCatalog is the configuration of the test: three queues with priorities 0 to 2, and a team for each key.
+func decodeCatalog([]byte) (*catalog.Catalog, error) {
+	c := catalog.Catalog{Version: 1, Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}, Guaranteed: 16}}}
+	for p := range 3 {
+		c.Queues = append(c.Queues, catalog.Queue{
+			Name: fmt.Sprintf("queue-%d", p), Host: host, Prefix: fmt.Sprintf("/q%d/", p), Service: service, Priority: p,
+			Attempts: 4, Stretch: 3, Aim: time.Second,
+		})
+	}
+	return c.WithIndex(), nil
+}
+
+func (s *system) startEntry(i int) {
+	p := s.entries[i]
+	ctx, cancel := context.WithCancel(s.ctx)
+	p.cancel, p.life = cancel, p.life+1
+	client := s.network.Client("http://" + p.name)
+	log, announced := s.log.Client(p.name), s.directory.Client(p.name)
+	logger := s.logger.With().Str("entry", p.name).Logger()
+	replica := jobstore.NewReplica(log, logger)
+	follower := catalog.NewFollower(s.config.Client(p.name), "config", decodeCatalog, logger)
+	directory := jobstore.NewDirectory(announced)
+	keeper := jobstore.NewKeeper(log, replica, directory.Entries, p.name, client, logger)
+	p.intake = intake.New(intake.Settings{KeyProof: 5 * time.Second}, intake.Parts{Keeper: keeper, Replica: replica, Catalog: follower, Logger: logger})
+	dispatcher := dispatch.New(
+		dispatch.Settings{Holder: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: dispatch.DefaultTiming(lease)},
+		dispatch.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Client: client, Logger: logger},
+	)
+	r := httprouter.New()
+	r.HandlerFunc(http.MethodPost, assignment.Path, dispatcher.ServePoll)
+	r.HandlerFunc(http.MethodGet, assignment.OfficePath, dispatcher.ServeOffice)
+	r.HandlerFunc(http.MethodPost, jobstore.KeepPath, keeper.ServeKeep)
+	s.network.Attach("http://"+p.name, r)
+	go replica.Run(ctx)
+	go follower.Run(ctx)
+	go directory.Run(ctx)
+	go dispatcher.Run(ctx)
+	go jobstore.AnnounceEntry(ctx, announced, p.name, p.name)
+}
+
+func (s *system) startAgent(i int) {
+	p := s.agents[i]
+	ctx, cancel := context.WithCancel(s.ctx)
+	p.cancel, p.life = cancel, p.life+1
+	client := s.network.Client("http://" + p.name)
+	directory := jobstore.NewDirectory(s.directory.Client(p.name))
+	s.network.Attach("http://"+p.name, http.NotFoundHandler())
+	p.runner = runner.New(
+		runner.Settings{Name: p.name, Agent: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Drift: 0.03},
+		runner.Parts{Worker: s.worker[i], Dispatcher: runner.NewOffice(directory, client), Logger: s.logger.With().Str("agent", p.name).Logger()},
+	)
+	go directory.Run(ctx)
+	go p.runner.Run(ctx)
+	go func(r *runner.Runner) {
+		for ctx.Err() == nil {
+			if life, ok := s.worker[i].Beat(); ok {
+				r.Heartbeat(life)
+			}
+			time.Sleep(time.Second)
+		}
+	}(p.runner)
+}
+
+// restart kills a process and starts another life of it later.
+func (s *system) restart(p *process, start func(), away time.Duration) {
+	s.network.Kill("http://" + p.name)
+	p.cancel()
+	time.Sleep(away)
+	start()
+}
+
+// submit hands a job in at up to three entries, as callers do, and keeps what they were told.
+func (s *system) submit(j *job.Job, queue int) {
+	s.workers.Expect(j)
+	path := fmt.Sprintf("/q%d/%s", queue, j.ID)
+	doubt := false
+	for try := range 3 {
+		in := s.entries[(s.number+try)%entryCount].intake
+		ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
+		a, err := in.Admit(host, path, "key")
+		if err == nil {
+			copied := *j
+			err = in.Submit(ctx, a, &copied)
+			j.Service, j.Attempts = copied.Service, copied.Attempts
+		}
+		cancel()
+		switch {
+		case err == nil:
+			s.accepted[j.ID] = true
+			return
+		case !errors.Is(err, intake.ErrNotReady):
+			doubt = true
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	s.refused[j.ID] = !doubt
+}
+
+// cancel cancels a job at some entry.
+func (s *system) cancel(id job.ID, queue int) {
+	in := s.entries[s.random.IntN(entryCount)].intake
+	ctx, done := context.WithTimeout(s.ctx, 3*time.Second)
+	defer done()
+	a, err := in.Admit(host, fmt.Sprintf("/q%d/%s", queue, id), "key")
+	if err == nil {
+		_ = in.Cancel(ctx, a)
+		// It may be carried out also where the answer says nothing.
+		s.cancelled[id] = true
+	}
+}
+
+// drawJob draws a job of one of the shapes that callers hand in.
+func (s *system) drawJob() (*job.Job, int) {
+	s.number++
+	queue := s.random.IntN(3)
+	j := &job.Job{
+		ID: job.ID(fmt.Sprintf("%016x", s.number)), Spec: fmt.Sprintf("spec %d", s.number), Service: service, Attempts: 4, Priority: queue,
+	}
+	for n := range 1 + s.random.IntN(2) {
+		step := job.Step{
+			Tasks: 1 + s.random.IntN(5), Need: job.Need{CPU: 2000, Memory: 4000, Accelerators: 1 + s.random.IntN(4)},
+			Estimate: 2 * time.Second, Gang: s.random.IntN(2) == 0, Checkpoint: s.random.IntN(2) == 0,
+		}
+		step.SameRack = step.Gang && s.random.IntN(2) == 0
+		if !step.Gang && s.random.IntN(3) == 0 {
+			step.PerWorker = 1
+		}
+		if n > 0 {
+			step.After = []int{0}
+		}
+		if s.random.IntN(4) == 0 {
+			step.Label = "a"
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	if s.random.IntN(6) == 0 {
+		j.Times, j.First, j.Every = 2, time.Now().Add(time.Second), 3*time.Second
+	}
+	return j, queue
+}
+
+// disturb draws one fault; it is over within six seconds, unless it says otherwise.
+func (s *system) disturb() {
+	r := s.random
+	e, a := r.IntN(entryCount), r.IntN(workerCount)
+	entry, agent := s.entries[e], s.agents[a]
+	length := time.Duration(1000+r.IntN(6000)) * time.Millisecond
+	faults := []jobtest.Fault{{Silent: true}, {Refuse: true}, {Reset: true}, {Delay: 250 * time.Millisecond}, {Lost: 0.4}, {Lost: 0.4, Late: true}}
+	fault := faults[r.IntN(len(faults))]
+	after := func(f func()) { time.AfterFunc(length, f) }
+	switch r.IntN(12) {
+	case 0:
+		go s.restart(entry, func() { s.startEntry(e) }, length/3)
+	case 1:
+		go s.restart(agent, func() { s.startAgent(a) }, length/3)
+	case 2:
+		s.log.SetFault(entry.name, fault)
+		after(func() { s.log.SetFault(entry.name, jobtest.Fault{}) })
+	case 3:
+		s.log.SetFault("", fault)
+		after(func() { s.log.SetFault("", jobtest.Fault{}) })
+	case 4:
+		for _, p := range s.entries {
+			s.network.Cut("http://"+agent.name, "http://"+p.name, true)
+			after(func() { s.network.Cut("http://"+agent.name, "http://"+p.name, false) })
+		}
+	case 5:
+		for _, p := range s.agents {
+			s.network.Cut("http://"+p.name, "http://"+entry.name, true)
+			after(func() { s.network.Cut("http://"+p.name, "http://"+entry.name, false) })
+		}
+	case 6:
+		s.worker[a].Crash(length)
+	case 7:
+		s.worker[a].SetUnreachable(true)
+		after(func() { s.worker[a].SetUnreachable(false) })
+	case 8:
+		s.worker[a].SetLate(0.3)
+		after(func() { s.worker[a].SetLate(0) })
+	case 9:
+		s.worker[a].Leave(length)
+	case 10:
+		s.network.Freeze("http://" + entry.name)
+		after(func() { s.network.Thaw("http://" + entry.name) })
+	case 11:
+		s.log.Expire()
+	}
+}
+
+// play lets callers and faults strike for a while, heals all, and waits until all jobs should have ended.
+func (s *system) play() {
+	time.Sleep(3 * time.Second)
+	for range 25 {
+		j, queue := s.drawJob()
+		s.submit(j, queue)
+		if s.random.IntN(10) == 0 {
+			s.cancel(j.ID, queue)
+		}
+		if s.random.IntN(2) == 0 {
+			s.disturb()
+		}
+		time.Sleep(time.Duration(s.random.IntN(1200)) * time.Millisecond)
+	}
+	time.Sleep(7 * time.Second)
+	s.network.Heal()
+	s.log.Heal()
+	for _, w := range s.worker {
+		w.Heal()
+	}
+	time.Sleep(90 * time.Second)
+}
+
+// check compares what callers were told with what the workers saw.
+func (s *system) check() {
+	t := s.t
+	for _, b := range s.workers.Report() {
+		t.Error(b)
+	}
+	for id := range s.refused {
+		if s.refused[id] && s.workers.AnyRun(id) {
+			t.Errorf("REFUSED: %s runs, but every try to hand it in was refused", id)
+		}
+	}
+	for id := range s.accepted {
+		for _, e := range s.entries {
+			a := intake.Admission{Job: id}
+			phase, err := e.intake.Phase(a)
+			switch {
+			case err != nil:
+				t.Errorf("LOST: %s says of accepted job %s: %v", e.name, id, err)
+			case phase == job.Completed && !s.workers.AllDone(id):
+				t.Errorf("MIXED: job %s is completed but not all of its tasks ended so", id)
+			case phase == job.Failed, phase == job.Cancelled && s.cancelled[id], phase == job.Completed:
+			default:
+				t.Errorf("LOST: %s says that job %s is %v long after all faults", e.name, id, phase)
+			}
+			if phase.Final() && s.workers.AnyRun(id) {
+				t.Errorf("MIXED: job %s is %v and still runs", id, phase)
+			}
+		}
+	}
+}
+
+// TestSystem plays drawn days of jobs and faults against the real entries and agents, and checks the rules that workers
+// and callers can see. Replay a failing seed with -jobtest.seed=N -jobtest.seeds=1.
+func TestSystem(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s := newSystem(ctx, t, seed)
+				s.play()
+				s.check()
+				if len(s.accepted) < 5 || s.workers.Starts < 20 {
+					t.Errorf("only %d jobs were accepted and %d runs started: the day proves nothing", len(s.accepted), s.workers.Starts)
+				}
+				cancel()
+				time.Sleep(30 * time.Second)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/jobtest/workers.go
@@ -0,0 +1,468 @@
+package jobtest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/runner"
+)
+
+// Pace and bounds of the stand-in workers.
+const (
+	tick        = 20 * time.Millisecond
+	stopTime    = 300 * time.Millisecond
+	gangTimeout = 3 * time.Second
+	// maxLease is the longest lease that a worker grants, by its own clock.
+	maxLease = 6 * time.Second
+	// slowClock is how much slower than real time a worker's clock is.
+	slowClock = 0.02
+	// saveEvery is the work between two checkpoints.
+	saveEvery = 500 * time.Millisecond
+)
+
+// Workers are all workers, and what their rules need to know of each other. They check what they are told.
+type Workers struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	started time.Time
+	jobs    map[job.ID]*job.Job
+	workers map[string]*Worker
+	// done holds the tasks that ended done, acked those whose end the scheduler has taken note of.
+	done  map[job.TaskName]bool
+	acked map[job.TaskName]bool
+	// failures counts the failed runs of a task that were taken note of; a gang's count once a run.
+	failures map[job.TaskName]map[int]bool
+	// FailureShare is how many runs fail by their own fault.
+	FailureShare float64
+	// Broken lists the rules that were broken.
+	Broken []string
+	// Starts counts what was started.
+	Starts int
+}
+
+// NewWorkers returns no workers yet.
+func NewWorkers(seed uint64) *Workers {
+	return &Workers{
+		random: rand.New(rand.NewPCG(seed, 1)), started: time.Now(), jobs: map[job.ID]*job.Job{}, workers: map[string]*Worker{},
+		done: map[job.TaskName]bool{}, acked: map[job.TaskName]bool{}, failures: map[job.TaskName]map[int]bool{},
+	}
+}
+
+// Expect says that a job was handed in.
+func (ws *Workers) Expect(j *job.Job) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.jobs[j.ID] = j
+}
+
+// Worker is one worker. It implements runner.Worker.
+type Worker struct {
+	all  *Workers
+	name string
+	life assignment.Life
+	born time.Time
+	up   bool
+	// unreachable loses what the agent sends, and the worker runs on.
+	unreachable bool
+	// lateShare of the orders get no answer and are carried out later.
+	lateShare float64
+	fence     int64
+	until     int64
+	runs      map[job.TaskName]*run
+	highest   map[job.TaskName]int
+	ends      []assignment.End
+	endedAt   map[int64]time.Time
+	// lapsed is when the lease was last seen to be over.
+	lapsed  time.Time
+	numbers int64
+	lives   int
+}
+
+var _ runner.Worker = (*Worker)(nil)
+
+// run is a run on a worker.
+type run struct {
+	id       assignment.RunID
+	need     job.Need
+	begun    time.Time
+	arrived  time.Time
+	work     time.Duration
+	resumed  time.Duration
+	stopping time.Time
+	fails    bool
+}
+
+// Add adds a worker and its first life.
+func (ws *Workers) Add(name, service, rack string, room job.Need, labels ...string) *Worker {
+	w := &Worker{all: ws, name: name}
+	w.life = assignment.Life{Service: service, Zone: "zone", Rack: rack, Labels: append(labels, rack), Room: room}
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.workers[name] = w
+	w.reborn()
+	return w
+}
+
+// reborn begins a new life. The lock must be held.
+func (w *Worker) reborn() {
+	w.lives++
+	w.life.ID = fmt.Sprintf("%s-life-%d", w.name, w.lives)
+	w.life.Leaving, w.life.LeavesIn = false, 0
+	w.born, w.up, w.fence, w.until, w.ends, w.numbers = time.Now(), true, 0, 0, nil, 0
+	w.endedAt, w.lapsed = map[int64]time.Time{}, time.Time{}
+	w.runs, w.highest = map[job.TaskName]*run{}, map[job.TaskName]int{}
+}
+
+// Crash kills all that runs there; the worker comes back in a new life after a while.
+func (w *Worker) Crash(away time.Duration) {
+	w.all.mu.Lock()
+	w.up = false
+	for _, r := range w.runs {
+		w.end(r, job.EndLapsed, time.Now())
+	}
+	w.all.mu.Unlock()
+	time.AfterFunc(away, func() {
+		w.all.mu.Lock()
+		defer w.all.mu.Unlock()
+		if !w.up {
+			w.reborn()
+		}
+	})
+}
+
+// SetUnreachable loses what the agent sends, or carries it again.
+func (w *Worker) SetUnreachable(lost bool) {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	w.unreachable = lost
+}
+
+// SetLate makes a share of the orders come late, without an answer.
+func (w *Worker) SetLate(share float64) {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	w.lateShare = share
+}
+
+// Leave announces that the worker goes after a while, and then comes back in a new life.
+func (w *Worker) Leave(after time.Duration) {
+	w.all.mu.Lock()
+	w.life.Leaving, w.life.LeavesIn = true, after.Milliseconds()
+	w.all.mu.Unlock()
+	time.AfterFunc(after, func() { w.Crash(time.Second) })
+}
+
+// Heal ends the faults.
+func (w *Worker) Heal() {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	w.unreachable, w.lateShare = false, 0
+}
+
+// Beat returns what the worker says of itself, and false while it is away.
+func (w *Worker) Beat() (assignment.Life, bool) {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	return w.life, w.up && !w.unreachable
+}
+
+// Run lets all workers work until ctx ends.
+func (ws *Workers) Run(ctx context.Context) {
+	for sleep(ctx, tick) == nil {
+		ws.mu.Lock()
+		for _, w := range ws.workers {
+			w.advance(time.Now())
+		}
+		ws.mu.Unlock()
+	}
+}
+
+// clock is the worker's own clock, in milliseconds.
+func (w *Worker) clock(now time.Time) int64 {
+	return 1000 + int64(float64(now.Sub(w.born).Milliseconds())*(1-slowClock))
+}
+
+// advance lets time pass. The lock must be held.
+func (w *Worker) advance(now time.Time) {
+	if !w.up {
+		return
+	}
+	if w.clock(now) >= w.until {
+		w.lapsed = now
+	}
+	for _, r := range w.runs {
+		switch {
+		case w.clock(now) >= w.until:
+			w.end(r, job.EndLapsed, now)
+		case !r.stopping.IsZero() && now.After(r.stopping):
+			w.end(r, job.EndStopped, now)
+		case r.begun.IsZero():
+			w.gather(r, now)
+		case now.Sub(r.begun)+r.resumed >= r.work:
+			w.finish(r, now)
+		}
+	}
+}
+
+// gather begins a gang once all of its run are there.
+func (w *Worker) gather(r *run, now time.Time) {
+	members := w.all.members(r.id)
+	if len(members) == w.all.stepOf(r.id.Task).Tasks {
+		for _, m := range members {
+			m.run.begun = now
+		}
+		return
+	}
+	if now.Sub(r.arrived) > gangTimeout {
+		w.end(r, job.EndAlone, now)
+	}
+}
+
+// member is a run of a gang, with its worker.
+type member struct {
+	worker *Worker
+	run    *run
+}
+
+func (ws *Workers) members(id assignment.RunID) []member {
+	var found []member
+	for _, w := range ws.workers {
+		for _, r := range w.runs {
+			if r.id.Task.Job == id.Task.Job && r.id.Task.Round == id.Task.Round && r.id.Task.Step == id.Task.Step && r.id.Run == id.Run {
+				found = append(found, member{worker: w, run: r})
+			}
+		}
+	}
+	return found
+}
+
+func (ws *Workers) stepOf(name job.TaskName) job.Step { return ws.jobs[name.Job].Steps[name.Step] }
+
+// finish ends a run that has done its work, and with it the whole of its gang.
+func (w *Worker) finish(r *run, now time.Time) {
+	if r.fails {
+		w.end(r, job.EndFailed, now)
+		return
+	}
+	if !w.all.stepOf(r.id.Task).Gang {
+		w.all.done[r.id.Task] = true
+		w.end(r, job.EndDone, now)
+		return
+	}
+	members := w.all.members(r.id)
+	for _, m := range members {
+		w.all.done[m.run.id.Task] = true
+	}
+	for _, m := range members {
+		m.worker.list(m.run, job.EndDone)
+	}
+}
+
+// end ends a run; the other members of its gang break.
+func (w *Worker) end(r *run, how job.Ending, now time.Time) {
+	gang := w.all.stepOf(r.id.Task).Gang
+	w.list(r, how)
+	if !gang || how == job.EndDone {
+		return
+	}
+	for _, m := range w.all.members(r.id) {
+		if !m.run.begun.IsZero() {
+			m.worker.list(m.run, job.EndBroken)
+		}
+	}
+}
+
+// list puts an end into the worker's list.
+func (w *Worker) list(r *run, how job.Ending) {
+	delete(w.runs, r.id.Task)
+	w.highest[r.id.Task] = max(w.highest[r.id.Task], r.id.Run)
+	w.numbers++
+	w.endedAt[w.numbers] = time.Now()
+	w.ends = append(w.ends, assignment.End{RunID: r.id, Number: w.numbers, How: how, Saved: w.saved(r)})
+}
+
+// saved is the newest checkpoint of a run.
+func (w *Worker) saved(r *run) string {
+	if !w.all.stepOf(r.id.Task).Checkpoint || r.begun.IsZero() {
+		return ""
+	}
+	worked := time.Since(r.begun) + r.resumed
+	return worked.Truncate(saveEvery).String()
+}
+
+var errLost = errors.New("the answer was lost")
+
+// order lets the worker's faults strike an order, and carries it out: at once, or late.
+func (w *Worker) order(ctx context.Context, o runner.Order, carry func() error) (int64, error) {
+	if err := sleep(ctx, time.Millisecond); err != nil {
+		return 0, err
+	}
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	if !w.up || w.unreachable {
+		w.all.mu.Unlock()
+		<-ctx.Done()
+		w.all.mu.Lock()
+		return 0, ctx.Err()
+	}
+	if w.all.random.Float64() < w.lateShare {
+		time.AfterFunc(time.Duration(2+w.all.random.IntN(10))*time.Second, func() {
+			w.all.mu.Lock()
+			defer w.all.mu.Unlock()
+			if w.up {
+				_ = w.carryOut(o, carry)
+			}
+		})
+		w.all.mu.Unlock()
+		<-ctx.Done()
+		w.all.mu.Lock()
+		return 0, errLost
+	}
+	return w.clock(time.Now()), w.carryOut(o, carry)
+}
+
+// carryOut checks the life and the fence. The lock must be held.
+func (w *Worker) carryOut(o runner.Order, carry func() error) error {
+	if o.Life != w.life.ID {
+		return runner.ErrOtherLife
+	}
+	if o.Fence < w.fence {
+		return runner.ErrFenced
+	}
+	w.fence = o.Fence
+	w.advance(time.Now())
+	return carry()
+}
+
+// extend reads the end of a lease.
+func (w *Worker) extend(until int64) {
+	w.until = max(w.until, min(until, w.clock(time.Now())+maxLease.Milliseconds()))
+}
+
+// Start implements runner.Worker.
+func (w *Worker) Start(ctx context.Context, o runner.Order, s assignment.Start, until int64) (int64, error) {
+	return w.order(ctx, o, func() error { return w.start(s, until) })
+}
+
+func (w *Worker) start(s assignment.Start, until int64) error {
+	now := time.Now()
+	if until <= w.clock(now) {
+		return runner.ErrLate
+	}
+	if r := w.runs[s.Task]; r != nil && r.id.Run == s.Run {
+		w.extend(until)
+		return nil
+	}
+	if s.Run <= w.highest[s.Task] || w.runs[s.Task] != nil {
+		w.extend(until)
+		return runner.ErrOld
+	}
+	step := w.all.stepOf(s.Task)
+	w.extend(until)
+	if !step.Reserved().Fits(w.free()) {
+		return runner.ErrNoRoom
+	}
+	w.all.check(w, s)
+	r := &run{id: s.RunID, need: step.Reserved(), arrived: now, work: w.all.workOf(s.Task), fails: w.all.random.Float64() < w.all.FailureShare}
+	if r.resumed, _ = time.ParseDuration(s.Saved); !step.Gang {
+		r.begun = now
+	}
+	w.runs[s.Task] = r
+	w.all.Starts++
+	return nil
+}
+
+// workOf is how long a task works: a second to three, the same in each run.
+func (ws *Workers) workOf(name job.TaskName) time.Duration {
+	return time.Second + time.Duration((name.Index*37+len(ws.jobs))%20)*100*time.Millisecond
+}
+
+func (w *Worker) free() job.Need {
+	free := w.life.Room
+	for _, r := range w.runs {
+		free = free.Plus(r.need, -1)
+	}
+	return free
+}
+
+// Stop implements runner.Worker.
+func (w *Worker) Stop(ctx context.Context, o runner.Order, id assignment.RunID) (int64, error) {
+	return w.order(ctx, o, func() error {
+		r := w.runs[id.Task]
+		if r == nil || r.id.Run != id.Run {
+			w.highest[id.Task] = max(w.highest[id.Task], id.Run)
+			return nil
+		}
+		if r.stopping.IsZero() {
+			r.stopping = time.Now().Add(stopTime)
+		}
+		return nil
+	})
+}
+
+// Hold implements runner.Worker.
+func (w *Worker) Hold(ctx context.Context, o runner.Order, until, seen int64, wait time.Duration) (runner.Listing, int64, error) {
+	var l runner.Listing
+	clock, err := w.order(ctx, o, func() error {
+		if until > w.clock(time.Now()) {
+			w.extend(until)
+		}
+		w.forget(seen)
+		return nil
+	})
+	if err != nil {
+		return l, clock, err
+	}
+	for waited := time.Duration(0); ; waited += tick {
+		w.all.mu.Lock()
+		if o.Life != w.life.ID || !w.up || w.unreachable {
+			w.all.mu.Unlock()
+			<-ctx.Done()
+			return l, 0, ctx.Err()
+		}
+		l, clock = w.listing(), w.clock(time.Now())
+		w.all.mu.Unlock()
+		if len(l.Ends) > 0 || waited >= wait {
+			return l, clock, nil
+		}
+		if err := sleep(ctx, tick); err != nil {
+			return l, 0, err
+		}
+	}
+}
+
+// forget drops the ends that the scheduler has taken note of.
+func (w *Worker) forget(seen int64) {
+	var rest []assignment.End
+	for _, e := range w.ends {
+		if e.Number > seen {
+			rest = append(rest, e)
+			continue
+		}
+		// An end counts as taken note of only if the lease did not lapse in between.
+		if !w.lapsed.After(w.endedAt[e.Number]) {
+			w.all.acknowledge(e)
+		}
+	}
+	w.ends = rest
+}
+
+func (w *Worker) listing() runner.Listing {
+	w.advance(time.Now())
+	var l runner.Listing
+	for _, r := range w.runs {
+		percent := 0
+		if !r.begun.IsZero() {
+			percent = min(99, int(100*(time.Since(r.begun)+r.resumed)/r.work))
+		}
+		l.Runs = append(l.Runs, assignment.Run{RunID: r.id, Percent: percent, Saved: w.saved(r)})
+	}
+	l.Ends = append(l.Ends, w.ends...)
+	return l
+}
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -137,21 +137,22 @@
 	r.ended[id.Task] = max(r.ended[id.Task], id.Run)
 }
 
-// judgeSilence ends a life whose worker gives no answer, once every lease that it may have heard of is over. The lock
-// must be held.
+// judgeSilence gives up what runs on a worker that gives no answer, once every lease that it may have heard of is over:
+// none of it runs any more, and none of it ever starts. What ended there before is listed when the worker answers again.
+// The lock must be held.
 func (r *Runner) judgeSilence(now time.Time) {
-	if r.life == nil || r.told.IsZero() || len(r.runs) == 0 && len(r.ends) == 0 {
+	if r.life == nil || len(r.runs) == 0 || now.Sub(r.answers) <= silentAfter {
 		return
 	}
-	left := r.told.Sub(r.answers)
+	left := max(r.told.Sub(r.answers), 0)
 	over := r.answers.Add(time.Duration(float64(left) * (1 + r.settings.Drift))).Add(silenceMargin)
-	if now.After(over) && now.Sub(r.answers) > silenceMargin {
-		if _, told := r.over[r.life.ID]; told {
-			return
-		}
-		r.parts.Logger.Warn().Str("step", "runner.judgeSilence").Str("life", r.life.ID).Msg("worker is silent and its lease is over")
-		r.over[r.life.ID] = r.sequence
-		signal(r.report)
+	if !now.After(over) {
+		return
+	}
+	r.parts.Logger.Warn().Str("step", "runner.judgeSilence").Str("life", r.life.ID).Int("runs", len(r.runs)).
+		Msg("worker is silent and its lease is over")
+	for id := range r.runs {
+		r.refuse(id, "the worker is silent and its lease is over")
 	}
 }
 
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -80,14 +80,14 @@
 		r.refuse(s.RunID, "old")
 		return true
 	case errors.Is(err, ErrNoRoom):
-		r.beginStopThen(ctx, s.RunID, "room")
+		r.beginStop(ctx, s.RunID, "room")
 		return true
 	case errors.Is(err, ErrRejected):
-		r.beginStopThen(ctx, s.RunID, "rejected")
+		r.beginStop(ctx, s.RunID, "rejected")
 		return true
 	case errors.Is(err, ErrBusy):
 		if *busy++; *busy >= maxBusy {
-			r.beginStopThen(ctx, s.RunID, "busy")
+			r.beginStop(ctx, s.RunID, "busy")
 			return true
 		}
 	}
@@ -114,20 +114,12 @@
 	signal(r.report)
 }
 
-// beginStop stops a run in the background. The lock must be held.
-func (r *Runner) beginStop(ctx context.Context, id assignment.RunID) {
-	r.beginStopThen(ctx, id, "stopped")
-}
-
-// beginStopThen stops a run in the background; if it turns out that it never was there, it is refused with the reason.
-func (r *Runner) beginStopThen(ctx context.Context, id assignment.RunID, reason string) {
+// beginStop stops a run in the background; if it turns out that it never was there, it is refused with the reason. The
+// lock must be held.
+func (r *Runner) beginStop(ctx context.Context, id assignment.RunID, reason string) {
 	if r.life == nil {
 		return
 	}
-	if r.endedTask(id.Task, id.Run) {
-		r.insist(id)
-		return
-	}
 	k := r.runs[id]
 	if k == nil {
 		k = &known{phase: starting, percent: -1, started: time.Now()}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -160,6 +160,9 @@
 	} else if news {
 		r.parts.Logger.Info().Str("step", "runner.heartbeat").Str("life", l.ID).Int64("leaves_in_ms", l.LeavesIn).Msg("worker leaves")
 	}
+	if r.life == nil {
+		r.answers = time.Now()
+	}
 	r.life = &l
 	if news {
 		signal(r.report)
@@ -231,7 +234,7 @@
 	r.sequence++
 	p := assignment.Poll{
 		Worker: r.settings.Name, Agent: r.settings.Agent, Sequence: r.sequence, Term: r.term, Listed: r.listed,
-		Seen: r.seen, Wait: wait, Over: slices.Sorted(maps.Keys(r.over)),
+		Seen: r.seen, Wait: wait, Silent: r.life != nil && time.Since(r.answers) > silentAfter, Over: slices.Sorted(maps.Keys(r.over)),
 	}
 	if r.life != nil {
 		life := *r.life
@@ -283,7 +286,16 @@
 		signal(r.extend)
 	}
 	for _, id := range a.Stop {
-		r.beginStop(ctx, id)
+		if !r.endedTask(id.Task, id.Run) {
+			r.beginStop(ctx, id, "stopped")
+		}
+	}
+	for _, id := range a.Settle {
+		if r.endedTask(id.Task, id.Run) {
+			r.insist(id)
+			continue
+		}
+		r.beginStop(ctx, id, "stopped")
 	}
 	for _, s := range a.Start {
 		r.beginStart(ctx, s)
