Victims are chosen worker by worker

Cause: victims were taken over all workers by the work that they lose, which frees bits everywhere for tasks that need a whole worker. Kept as the simpler rule that costs less to compute.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -94,44 +94,90 @@
 	return 0, false
 }
 
-// victims are the runs to stop so that the unit fits into the domain, and the work that this throws away.
+// victims are the runs to stop so that the unit fits into the domain, and the work that this throws away. Worker by worker
+// it takes the one that frees room for a task at the least loss.
 func (p *plan) victims(w waiting, domain []*node) (victims []*running, loss float64, ok bool) {
-	groups := p.groups(w, domain)
-	room := map[*node]job.Need{}
-	for _, n := range domain {
-		if n.usable && allowed(w, n) {
-			room[n] = n.later
+	left := len(w.unit.Tasks)
+	stopped := map[*running]bool{}
+	used := map[*node]bool{}
+	for left > 0 {
+		var best clearing
+		for _, n := range domain {
+			if used[n] || !n.usable || !allowed(w, n) {
+				continue
+			}
+			if c := p.clear(w, n, left, stopped); c.tasks > 0 && (best.tasks == 0 || c.lossPerTask() < best.lossPerTask()) {
+				best = c
+			}
+		}
+		if best.tasks == 0 {
+			return nil, 0, false
 		}
+		for _, r := range best.runs {
+			stopped[r] = true
+		}
+		victims = append(victims, best.runs...)
+		loss += best.loss
+		left -= best.tasks
+		used[best.node] = true
 	}
-	fits := func() bool {
-		left := len(w.unit.Tasks)
-		for n, have := range room {
-			left -= count(w.step.Reserved(), have, bound(w, n))
+	return victims, loss, true
+}
+
+// clearing is what has to be stopped so that a number of tasks fit on a node.
+type clearing struct {
+	node  *node
+	tasks int
+	runs  []*running
+	loss  float64
+}
+
+func (c clearing) lossPerTask() float64 { return c.loss / float64(c.tasks) }
+
+// clear looks for the number of tasks, at most as many as given, that costs the least for each on a node. What has been
+// stopped for other nodes costs nothing again.
+func (p *plan) clear(w waiting, n *node, most int, stopped map[*running]bool) clearing {
+	groups := p.groups(w, n, stopped)
+	room := n.later
+	for _, r := range n.runs {
+		if stopped[r] {
+			room = room.Plus(r.need, 1)
 		}
-		return left <= 0
+	}
+	most = min(most, bound(w, n))
+	best := clearing{node: n, tasks: count(w.step.Reserved(), room, most)}
+	if best.tasks > 0 {
+		return best
 	}
 	var taken []group
-	for _, g := range groups {
-		if fits() {
-			break
+	for i, g := range groups {
+		room = room.Plus(g.here(n), 1)
+		taken = groups[:i+1]
+		tasks := count(w.step.Reserved(), room, most)
+		if tasks == 0 {
+			continue
+		}
+		c := p.prune(w, n, tasks, room, taken)
+		if best.tasks == 0 || c.lossPerTask() < best.lossPerTask() {
+			best = c
 		}
-		taken = append(taken, g)
-		g.release(room, 1)
-	}
-	if !fits() {
-		return nil, 0, false
 	}
-	// What turned out not to be needed stays: the dearest first.
+	return best
+}
+
+// prune leaves out what need not be stopped after all, the dearest first.
+func (p *plan) prune(w waiting, n *node, tasks int, room job.Need, taken []group) clearing {
+	c := clearing{node: n, tasks: tasks}
 	for i := len(taken) - 1; i >= 0; i-- {
-		taken[i].release(room, -1)
-		if fits() {
+		less := room.Plus(taken[i].here(n), -1)
+		if count(w.step.Reserved(), less, tasks) == tasks {
+			room = less
 			continue
 		}
-		taken[i].release(room, 1)
-		victims = append(victims, taken[i].runs...)
-		loss += taken[i].loss
+		c.runs = append(c.runs, taken[i].runs...)
+		c.loss += taken[i].loss
 	}
-	return victims, loss, true
+	return c
 }
 
 // group is what stops together: one run, or all of a gang's, wherever they are.
@@ -141,39 +187,33 @@
 	loss float64
 }
 
-func (g group) release(room map[*node]job.Need, sign int) {
+// here is what the group takes on a node.
+func (g group) here(n *node) job.Need {
+	var sum job.Need
 	for _, r := range g.runs {
-		if have, ok := room[r.node]; ok {
-			room[r.node] = have.Plus(r.need, sign)
+		if r.node == n {
+			sum = sum.Plus(r.need, 1)
 		}
 	}
+	return sum
 }
 
-// groups are what yields to the unit in a domain, in the order in which it yields.
-func (p *plan) groups(w waiting, domain []*node) []group {
-	type key struct {
-		id    job.ID
-		round int
-		step  int
-		index int
-	}
-	gangs := map[key]bool{}
+// groups are what yields to the unit on a node, the cheapest first.
+func (p *plan) groups(w waiting, n *node, stopped map[*running]bool) []group {
+	gangs := map[job.TaskName]bool{}
 	var groups []group
-	for _, n := range domain {
-		for _, r := range n.runs {
-			rank, ok := p.yields(r, w)
-			if !ok {
-				continue
-			}
-			if !r.tracked.job.Steps[r.name.Step].Gang {
-				groups = append(groups, group{runs: []*running{r}, rank: rank, loss: r.loss})
-				continue
-			}
-			k := key{r.name.Job, r.name.Round, r.name.Step, 0}
-			if gangs[k] {
-				continue
-			}
-			gangs[k] = true
+	for _, r := range n.runs {
+		rank, ok := p.yields(r, w)
+		if !ok || stopped[r] {
+			continue
+		}
+		if !r.tracked.job.Steps[r.name.Step].Gang {
+			groups = append(groups, group{runs: []*running{r}, rank: rank, loss: r.loss})
+			continue
+		}
+		first := job.TaskName{Job: r.name.Job, Round: r.name.Round, Step: r.name.Step}
+		if !gangs[first] {
+			gangs[first] = true
 			groups = append(groups, p.gangOf(r, rank))
 		}
 	}
