A log that is back is noticed within half a second; what was not sent is known as such

Change: one Tail in place of three loops; after a failure reads are short, each third one long, for a log that is slow. An exchange that got no connection says that nothing was sent.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -11,15 +10,12 @@
 	"yarrowgrade.example/yarrowgrade/jobstore"
 )
 
-// Pace of a follower. Each answered read renews the proof that nothing newer is in force.
-const (
-	readWait   = time.Second
-	retryPause = 100 * time.Millisecond
-)
+// readWait is how long a read waits for news: it bounds the age of the proof.
+const readWait = time.Second
 
 // Follower keeps the newest catalog of a keyed topic.
 type Follower struct {
-	log    jobstore.Log
+	tail   *jobstore.Tail
 	key    string
 	decode func([]byte) (*Catalog, error)
 	logger zerolog.Logger
@@ -27,84 +23,20 @@
 	mu      sync.Mutex
 	current *Catalog
 	proof   time.Time
-	loaded  bool
-	next    int64
-	lost    time.Time
 	changed chan struct{}
 }
 
 // NewFollower returns a follower of the records with the key.
 func NewFollower(log jobstore.Log, key string, decode func([]byte) (*Catalog, error), logger zerolog.Logger) *Follower {
-	return &Follower{log: log, key: key, decode: decode, logger: logger, changed: make(chan struct{})}
+	return &Follower{tail: jobstore.NewTail(log, "configuration", readWait, logger), key: key, decode: decode, logger: logger, changed: make(chan struct{})}
 }
 
 // Run follows the topic until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
-			f.noteLost(err)
-			select {
-			case <-time.After(retryPause):
-			case <-ctx.Done():
-			}
-		}
-	}
-}
-
-func (f *Follower) step(ctx context.Context) error {
-	sent := time.Now()
-	if !f.loaded {
-		batch, err := f.log.Newest(ctx)
-		if err != nil {
-			return err
-		}
-		f.take(batch, batch.End)
-		f.loaded = true
-		return nil
-	}
-	wait := readWait
-	if _, proof := f.Current(); proof.IsZero() {
-		// Nothing can be served before the first proof.
-		wait = 0
-	}
-	batch, err := f.log.Read(ctx, f.next, wait)
-	if errors.Is(err, jobstore.ErrExpired) {
-		f.loaded = false
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	f.take(batch, f.next+int64(len(batch.Records)))
-	if f.next >= batch.End {
-		f.noteProof(sent)
-	}
-	return nil
-}
-
-func (f *Follower) noteProof(sent time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.proof = sent
-	if !f.lost.IsZero() {
-		f.logger.Info().Str("step", "catalog.read").Dur("away_ms", time.Since(f.lost)).Msg("the configuration can be read again")
-		f.lost = time.Time{}
-	}
-}
-
-func (f *Follower) noteLost(err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.lost.IsZero() {
-		f.lost = time.Now()
-		f.logger.Warn().Str("step", "catalog.read").Err(err).Msg("the configuration can't be read")
-	}
-}
+func (f *Follower) Run(ctx context.Context) { f.tail.Run(ctx, f.take) }
 
 // take puts the newest version among the records in force.
-func (f *Follower) take(b jobstore.Batch, next int64) {
-	f.next = next
-	for _, r := range b.Records {
+func (f *Follower) take(n jobstore.News) {
+	for _, r := range n.Records {
 		if r.Key != f.key || r.Value == nil {
 			continue
 		}
@@ -115,6 +47,11 @@
 		}
 		f.put(c)
 	}
+	if !n.Proof.IsZero() {
+		f.mu.Lock()
+		f.proof = n.Proof
+		f.mu.Unlock()
+	}
 }
 
 func (f *Follower) put(c *Catalog) {
--- a/cmd/yarrowgraded/jobagent.go
+++ b/cmd/yarrowgraded/jobagent.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	client := newClient(t)
-	directory := jobstore.NewDirectory(platform.NewStore(s, client).Topic(platform.OfficeTopic))
+	directory := jobstore.NewDirectory(platform.NewStore(s, client).Topic(platform.OfficeTopic), t.Log)
 	r := runner.New(
 		runner.Settings{Name: s.Node, Agent: uuid.NewString(), Lease: s.Hold(), Drift: workerDrift},
 		runner.Parts{Worker: platform.NewWorker(s, client), Dispatcher: runner.NewOffice(directory, client), Logger: t.Log},
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -77,7 +77,7 @@
 	client := newClient(t)
 	store := platform.NewStore(s, client)
 	e := &jobEntry{settings: s, telemetry: t, announced: store.Topic(platform.OfficeTopic), leaving: make(chan struct{})}
-	e.directory = jobstore.NewDirectory(e.announced)
+	e.directory = jobstore.NewDirectory(e.announced, t.Log)
 	jobs := store.Topic(platform.JobsTopic)
 	e.replica = jobstore.NewReplica(jobs, t.Log)
 	e.catalog = catalog.NewFollower(store.Topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -202,9 +202,18 @@
 // Times of an append. A second try with the same number is harmless.
 const (
 	appendTimeout = 900 * time.Millisecond
+	shortAppend   = 400 * time.Millisecond
 	appendPause   = 60 * time.Millisecond
 )
 
+// writeTimeout bounds a try of an append: after failures most are short, so that a log that is back is noticed soon.
+func writeTimeout(try int) time.Duration {
+	if try%3 == 0 {
+		return appendTimeout
+	}
+	return shortAppend
+}
+
 // errSucceeded says that another entry holds a later term.
 var errSucceeded = errors.New("a later term has begun")
 
@@ -226,7 +235,7 @@
 	condition := jobstore.Condition{Producer: jobstore.TermOf(t.office.Term, t.sequence)}
 	for try := 0; ; try++ {
 		sent := time.Now()
-		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
+		attempt, cancel := context.WithTimeout(ctx, writeTimeout(try))
 		offset, err := t.parts.Log.Append(attempt, records, condition)
 		cancel()
 		switch {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -60,8 +60,11 @@
 	return &Field{Name: name, Reason: fmt.Sprintf(format, args...)}
 }
 
+// ErrNotSent says that no connection was had, so that nothing can have arrived.
+var ErrNotSent = errors.New("nothing was sent")
+
 // NotReached reports whether err says that a connection was never made, so that nothing can have arrived.
 func NotReached(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return errors.Is(err, ErrNotSent) || errors.As(err, &op) && op.Op == "dial"
 }
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // entryPrefix is the prefix of the keys under which entries say where they are reached.
@@ -19,61 +21,26 @@
 // Directory follows the small topic that says which entries there are and who is the dispatcher. Agents read it instead of
 // the jobs.
 type Directory struct {
-	log Log
+	tail *Tail
 
 	mu      sync.Mutex
 	office  Office
 	entries map[string]string
-	loaded  bool
-	next    int64
 	changed chan struct{}
 }
 
 // NewDirectory returns a directory that knows nothing yet.
-func NewDirectory(log Log) *Directory {
-	return &Directory{log: log, entries: map[string]string{}, changed: make(chan struct{})}
+func NewDirectory(log Log, logger zerolog.Logger) *Directory {
+	return &Directory{tail: NewTail(log, "directory", directoryWait, logger), entries: map[string]string{}, changed: make(chan struct{})}
 }
 
 // Run follows the topic until ctx ends.
-func (d *Directory) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := d.step(ctx); err != nil {
-			pause(ctx, retryPause)
-		}
-	}
-}
-
-func (d *Directory) step(ctx context.Context) error {
-	if !d.loaded {
-		batch, err := d.log.Newest(ctx)
-		if err != nil {
-			return err
-		}
-		d.take(batch.Records, batch.End)
-		d.loaded = true
-		return nil
-	}
-	batch, err := d.log.Read(ctx, d.next, directoryWait)
-	if errors.Is(err, ErrExpired) {
-		d.loaded = false
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	d.take(batch.Records, d.next+int64(len(batch.Records)))
-	if len(batch.Records) == 0 && batch.End <= d.next {
-		// An answer that came early has nothing to read; it must not be asked for again at once.
-		pause(ctx, retryPause)
-	}
-	return nil
-}
+func (d *Directory) Run(ctx context.Context) { d.tail.Run(ctx, d.take) }
 
-func (d *Directory) take(records []Stored, next int64) {
+func (d *Directory) take(n News) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.next = next
-	for _, r := range records {
+	for _, r := range n.Records {
 		if name, ok := strings.CutPrefix(r.Key, entryPrefix); ok {
 			d.entries[name] = string(r.Value)
 			continue
@@ -82,7 +49,7 @@
 			d.office = o
 		}
 	}
-	if len(records) > 0 {
+	if len(n.Records) > 0 {
 		close(d.changed)
 		d.changed = make(chan struct{})
 	}
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -11,13 +10,8 @@
 	"yarrowgrade.example/yarrowgrade/job"
 )
 
-// Pace of a replica.
-const (
-	// readWait is how long a read waits for news. Each answered read renews the proof that nothing newer exists.
-	readWait = 500 * time.Millisecond
-	// retryPause is the pause after a failed read.
-	retryPause = 100 * time.Millisecond
-)
+// replicaWait is how long a read of a replica waits for news: it bounds the age of its proof.
+const replicaWait = 500 * time.Millisecond
 
 // entry is what a replica knows of one job.
 type entry struct {
@@ -29,123 +23,56 @@
 
 // Replica holds the newest record of each key. Its methods may be called from any goroutine.
 type Replica struct {
-	log    Log
-	logger zerolog.Logger
+	tail *Tail
 
 	mu      sync.Mutex
 	jobs    map[job.ID]*entry
 	office  Office
 	next    int64
-	loaded  bool
 	proof   time.Time
 	sign    time.Time
 	changed chan struct{}
 	// fresh holds the jobs whose submission or cancel came since Take.
 	fresh map[job.ID]bool
-	lost  time.Time
 }
 
 // NewReplica returns a replica that knows nothing yet.
 func NewReplica(log Log, logger zerolog.Logger) *Replica {
-	return &Replica{log: log, logger: logger, jobs: map[job.ID]*entry{}, fresh: map[job.ID]bool{}, changed: make(chan struct{})}
+	return &Replica{tail: NewTail(log, "jobs", replicaWait, logger), jobs: map[job.ID]*entry{}, fresh: map[job.ID]bool{}, changed: make(chan struct{})}
 }
 
 // Run follows the topic until ctx ends.
-func (r *Replica) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := r.step(ctx); err != nil {
-			r.noteLost(err)
-			pause(ctx, retryPause)
-		}
-	}
-}
+func (r *Replica) Run(ctx context.Context) { r.tail.Run(ctx, r.take) }
 
-// step loads the newest records once, or reads on.
-func (r *Replica) step(ctx context.Context) error {
+func (r *Replica) take(n News) {
 	r.mu.Lock()
-	loaded, next := r.loaded, r.next
-	r.mu.Unlock()
-	sent := time.Now()
-	if !loaded {
-		batch, err := r.log.Newest(ctx)
-		if err != nil {
-			return err
-		}
-		r.load(batch)
-		return nil
+	defer r.mu.Unlock()
+	if n.Loaded {
+		r.forget()
 	}
-	wait := readWait
-	if r.Proof().IsZero() {
-		// Nothing can be served before the first proof.
-		wait = 0
+	for _, s := range n.Records {
+		r.applyOne(s)
 	}
-	batch, err := r.log.Read(ctx, next, wait)
-	if errors.Is(err, ErrExpired) {
-		r.mu.Lock()
-		r.loaded = false
-		r.mu.Unlock()
-		r.logger.Info().Str("step", "jobstore.read").Int64("offset", next).Msg("records have expired; loading the newest")
-		return nil
+	if n.Loaded {
+		// What was loaded may be old: it is no sign of life of the dispatcher.
+		r.sign = time.Time{}
 	}
-	if err != nil {
-		return err
+	r.next = n.Next
+	first := r.proof.IsZero() && !n.Proof.IsZero()
+	if !n.Proof.IsZero() {
+		r.proof = n.Proof
 	}
-	r.apply(batch, sent)
-	return nil
-}
-
-func (r *Replica) noteLost(err error) {
-	r.mu.Lock()
-	first := r.lost.IsZero()
-	if first {
-		r.lost = time.Now()
-	}
-	r.mu.Unlock()
-	if first {
-		r.logger.Warn().Str("step", "jobstore.read").Err(err).Msg("the log does not answer")
+	if first || n.Loaded || len(n.Records) > 0 {
+		r.wake()
 	}
 }
 
-// load replaces all by the newest records of each key.
-func (r *Replica) load(b Batch) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	old := r.jobs
-	r.jobs = map[job.ID]*entry{}
-	for _, s := range b.Records {
-		r.applyOne(s)
-	}
-	for id := range old {
+// forget drops what is known, before the newest records of all keys take its place.
+func (r *Replica) forget() {
+	for id := range r.jobs {
 		r.fresh[id] = true
 	}
-	r.next, r.loaded = b.End, true
-	// What was loaded may be old: it is no sign of life of the dispatcher.
-	r.sign = time.Time{}
-	r.logger.Info().Str("step", "jobstore.load").Int("jobs", len(r.jobs)).Int64("offset", b.End).Msg("newest records loaded")
-	r.wake()
-}
-
-func (r *Replica) apply(b Batch, sent time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.lost.IsZero() {
-		r.logger.Info().Str("step", "jobstore.read").Dur("away_ms", time.Since(r.lost)).Msg("the log answers again")
-		r.lost = time.Time{}
-	}
-	for _, s := range b.Records {
-		r.applyOne(s)
-	}
-	r.next += int64(len(b.Records))
-	if r.next >= b.End {
-		first := r.proof.IsZero()
-		r.proof = sent
-		if first {
-			r.wake()
-		}
-	}
-	if len(b.Records) > 0 {
-		r.wake()
-	}
+	r.jobs = map[job.ID]*entry{}
 }
 
 // Note takes records over that this process has appended itself, before they come back by a read.
@@ -302,10 +229,3 @@
 func (e *entry) view(id job.ID) View {
 	return View{ID: id, Submission: e.submission, Cancelled: e.cancel != nil, Progress: e.progress}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/jobtest/log.go
+++ b/jobtest/log.go
@@ -183,8 +183,6 @@
 
 // Read implements jobstore.Log.
 func (c *LogClient) Read(ctx context.Context, from int64, wait time.Duration) (jobstore.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+1500*time.Millisecond)
-	defer cancel()
 	fault, err := c.meet(ctx)
 	if err != nil {
 		return jobstore.Batch{}, err
@@ -225,8 +223,6 @@
 
 // Newest implements jobstore.Log.
 func (c *LogClient) Newest(ctx context.Context) (jobstore.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
-	defer cancel()
 	fault, err := c.meet(ctx)
 	if err != nil {
 		return jobstore.Batch{}, err
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -125,7 +125,7 @@
 	logger := s.logger.With().Str("entry", p.name).Logger()
 	replica := jobstore.NewReplica(log, logger)
 	follower := catalog.NewFollower(s.config.Client(p.name), "config", decodeCatalog, logger)
-	directory := jobstore.NewDirectory(announced)
+	directory := jobstore.NewDirectory(announced, zerolog.Nop())
 	keeper := jobstore.NewKeeper(log, replica, directory.Entries, p.name, client, logger)
 	p.intake = intake.New(intake.Settings{KeyProof: 5 * time.Second}, intake.Parts{Keeper: keeper, Replica: replica, Catalog: follower, Logger: logger})
 	dispatcher := dispatch.New(
@@ -149,7 +149,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	p.cancel, p.life = cancel, p.life+1
 	client := s.network.Client("http://" + p.name)
-	directory := jobstore.NewDirectory(s.directory.Client(p.name))
+	directory := jobstore.NewDirectory(s.directory.Client(p.name), zerolog.Nop())
 	s.network.Attach("http://"+p.name, http.NotFoundHandler())
 	p.runner = runner.New(
 		runner.Settings{Name: p.name, Agent: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Drift: 0.03},
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -18,6 +18,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/fault"
@@ -163,7 +165,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	response, err := client.Do(request)
+	response, err := Do(client, request)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -172,6 +174,24 @@
 	return response.StatusCode, answer, err
 }
 
+// Do sends a request. An error for which fault.NotReached holds says that nothing of it was sent, also where the time
+// ran out while the connection was being made.
+func Do(client *http.Client, r *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil && tracesConnections(client) && !connected.Load() {
+		return nil, fmt.Errorf("%w: %w", fault.ErrNotSent, err)
+	}
+	return response, err
+}
+
+// tracesConnections reports whether the client's transport tells of its connections; those of tests may not.
+func tracesConnections(client *http.Client) bool {
+	_, ok := client.Transport.(*http.Transport)
+	return ok
+}
+
 func statusError(status int, answer []byte) error {
 	var body ErrorBody
 	if json.Unmarshal(answer, &body) != nil || body.Error == "" {
