Leases are looked at and sealed under one lock; a dispatcher that no agent reaches gives the office up

Change: a worker whose last lease is over is sealed under the lock under which leases are given, until what follows is published. A holder with work to do that hears from no agent for 3 s gives up, and claims nothing for 3 s.

--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -27,9 +27,8 @@
 	name string
 	// life is nil until the agent has reported one.
 	life *assignment.Life
-	// heard is when the newest poll was taken, granted when the newest lease was given.
-	heard   time.Time
-	granted time.Time
+	// heard is when the newest poll was taken.
+	heard time.Time
 	// leaves is the earliest time at which a leaving worker goes.
 	leaves time.Time
 	// runs are those that the worker has reported, ends the number up to which its ends are taken note of.
@@ -115,17 +114,13 @@
 // pass is one round of the control loop: news in, decisions, one append, and then the word to the agents.
 func (c *control) pass(ctx context.Context, t *term, d *desk) error {
 	now := time.Now()
-	polls, granted := d.take()
-	for name, at := range granted {
-		c.workerOf(name).granted = at
-	}
-	for name, poll := range polls {
+	for name, poll := range d.take() {
 		c.report(now, c.workerOf(name), poll)
 	}
 	for _, v := range c.replica.Take() {
 		c.take(v)
 	}
-	c.expire(now)
+	c.expire(now, d)
 	c.plan(now)
 	records, err := c.changes(now)
 	if err != nil {
@@ -251,35 +246,45 @@
 	}
 }
 
-// expire ends what is placed on workers whose lease is surely over: nobody has extended it for long enough.
-func (c *control) expire(now time.Time) {
-	silent := map[string]map[string]bool{}
+// expire ends what is placed on workers whose lease is surely over: nobody has extended it for long enough. A former
+// holder may have given a lease with a proof from just before this one took office.
+func (c *control) expire(now time.Time, d *desk) {
+	earliest := c.took.Add(c.timing.Proof)
+	names := map[string]bool{}
+	lives := map[string]map[string]bool{}
 	for _, t := range c.jobs {
 		t.progress.Placed(t.job.ID, func(_ job.TaskName, placed *job.Task) {
-			if now.Before(c.surelyOver(placed.Worker)) {
-				return
-			}
-			if silent[placed.Worker] == nil {
-				silent[placed.Worker] = map[string]bool{}
+			names[placed.Worker] = true
+			if lives[placed.Worker] == nil {
+				lives[placed.Worker] = map[string]bool{}
 			}
-			silent[placed.Worker][placed.Life] = true
+			lives[placed.Worker][placed.Life] = true
 		})
 	}
-	for name, lives := range silent {
-		for life := range lives {
+	for name := range d.sealOver(names, now, earliest) {
+		for life := range lives[name] {
 			c.lose(name, life, "its lease is over")
 		}
 	}
 }
 
-// surelyOver is when nothing runs on a worker any more, if no lease is given from now on.
-func (c *control) surelyOver(name string) time.Time {
-	// A former holder may have given a lease with a proof from just before this one took office.
-	base := c.took.Add(c.timing.Proof)
-	if w := c.workers[name]; w != nil && w.granted.After(base) {
-		base = w.granted
-	}
-	return base.Add(c.timing.over())
+// deserted reports whether there is work to do and no agent has been heard of for long.
+func (c *control) deserted(now time.Time) bool {
+	latest := c.took
+	for _, w := range c.workers {
+		if w.heard.After(latest) {
+			latest = w.heard
+		}
+	}
+	if now.Sub(latest) < c.timing.Desertion {
+		return false
+	}
+	for _, t := range c.jobs {
+		if !t.progress.Phase.Final() || t.progress.AnyPlaced() {
+			return true
+		}
+	}
+	return false
 }
 
 // changes returns the records of what has changed, and drops jobs that ended long ago.
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -27,6 +27,9 @@
 	news bool
 	// granted is when the newest answer with a lease was sent.
 	granted time.Time
+	// sealed says that the control goroutine counts on the last lease being over: until it has published what follows from
+	// that, the agent gets no lease and no orders.
+	sealed bool
 
 	// What the control goroutine has published for the life.
 	life string
@@ -128,11 +131,7 @@
 	if d.term == 0 || poll.Term > d.term {
 		return false
 	}
-	p := d.places[poll.Worker]
-	if p == nil {
-		p = &place{former: map[string]bool{}}
-		d.places[poll.Worker] = p
-	}
+	p := d.placeOf(poll.Worker)
 	if p.former[poll.Agent] {
 		return false
 	}
@@ -155,6 +154,40 @@
 	return true
 }
 
+// placeOf returns what is known of a worker. The lock must be held.
+func (d *desk) placeOf(worker string) *place {
+	p := d.places[worker]
+	if p == nil {
+		p = &place{former: map[string]bool{}}
+		d.places[worker] = p
+	}
+	return p
+}
+
+// sealOver seals those of the workers whose last lease is surely over, and returns them. The newest lease is looked at
+// under the same lock under which leases are given: an agent that comes back at this moment either gets one before, and
+// its worker is not sealed, or none.
+func (d *desk) sealOver(workers map[string]bool, now, earliest time.Time) map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	over := map[string]bool{}
+	if d.term == 0 {
+		return over
+	}
+	for name := range workers {
+		p := d.placeOf(name)
+		base := earliest
+		if p.granted.After(base) {
+			base = p.granted
+		}
+		if now.After(base.Add(d.timing.over())) {
+			p.sealed = true
+			over[name] = true
+		}
+	}
+	return over
+}
+
 // fenceBits is the part of a fence that counts within a term: a million lives of agents.
 const fenceBits = 20
 
@@ -168,7 +201,7 @@
 	}
 	now := time.Now()
 	lease := d.lease(now)
-	if poll.Life == nil || poll.Silent {
+	if poll.Life == nil || poll.Silent || p.sealed {
 		// An agent that does not reach a worker has nothing to extend; what an earlier agent left there runs out.
 		lease = 0
 	}
@@ -183,7 +216,7 @@
 		// The agent needs its fence before it can list anything.
 		return a, !poll.Listed && poll.Life != nil, d.published, true
 	}
-	if !d.synced || poll.Life.ID != p.life {
+	if !d.synced || p.sealed || poll.Life.ID != p.life {
 		return a, false, d.published, true
 	}
 	a.Life, a.Seen = p.life, p.seen
@@ -218,18 +251,17 @@
 	}
 }
 
-// take returns the polls that are new since the last call, by worker, and when each worker was last granted a lease.
-func (d *desk) take() (polls map[string]assignment.Poll, granted map[string]time.Time) {
+// take returns the polls that are new since the last call, by worker.
+func (d *desk) take() map[string]assignment.Poll {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	polls, granted = map[string]assignment.Poll{}, make(map[string]time.Time, len(d.places))
+	polls := map[string]assignment.Poll{}
 	for name, p := range d.places {
 		if p.news {
 			polls[name], p.news, p.taken = p.poll, false, p.sequence
 		}
-		granted[name] = p.granted
 	}
-	return polls, granted
+	return polls
 }
 
 // publication is what a worker should run.
@@ -245,6 +277,7 @@
 	defer d.mu.Unlock()
 	for name, p := range d.places {
 		news := all[name]
+		p.sealed = false
 		p.life, p.want, p.seen, p.heard = news.life, news.want, news.seen, p.taken
 	}
 	d.synced = true
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -55,6 +55,9 @@
 	Patience time.Duration
 	// Doubt is how long without a sign the others wait before they ask the holder whether it is still there.
 	Doubt time.Duration
+	// Desertion is how long a holder with work to do goes on without hearing from any agent: one that is cut off from the
+	// agents, but not from the log, must let another one try.
+	Desertion time.Duration
 	// Silent is how long a worker may be silent and still get new work.
 	Silent time.Duration
 	// Forget is how long an ended job is kept.
@@ -66,7 +69,7 @@
 	return Timing{
 		Lease: lease, Proof: 3 * time.Second, Drift: 0.03, Margin: 300 * time.Millisecond,
 		Hold: 500 * time.Millisecond, Renew: 400 * time.Millisecond, Patience: 1500 * time.Millisecond, Doubt: 600 * time.Millisecond,
-		Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute,
+		Desertion: 3 * time.Second, Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute,
 	}
 }
 
@@ -113,20 +116,24 @@
 
 // Run waits for the office and holds it, again and again, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
-	refused := int64(-1)
+	lost := int64(-1)
+	rest := time.Time{}
 	for ctx.Err() == nil {
-		office, ok := d.await(ctx, refused)
+		office, ok := d.await(ctx, lost, rest)
 		if !ok {
 			return
 		}
 		err := d.hold(ctx, office)
-		refused = office.Term
+		lost = office.Term
+		if errors.Is(err, errDeserted) {
+			rest = time.Now().Add(d.settings.Timing.Desertion)
+		}
 		d.parts.Logger.Warn().Str("step", "dispatch.hold").Int64("term", office.Term).Err(err).Msg("office lost")
 	}
 }
 
-// await returns when this entry holds a term above the one that it has lost.
-func (d *Dispatcher) await(ctx context.Context, lost int64) (jobstore.Office, bool) {
+// await returns when this entry holds a term above the one that it has lost. It claims none before the end of the rest.
+func (d *Dispatcher) await(ctx context.Context, lost int64, rest time.Time) (jobstore.Office, bool) {
 	patience := d.settings.Timing.Patience + rand.N(d.settings.Timing.Patience/5)
 	watching := time.Now()
 	var claimed, asked time.Time
@@ -147,7 +154,7 @@
 			asked = time.Now()
 			vacant = d.holderIsGone(ctx, office)
 		}
-		if vacant && time.Since(proof) < 2*patience && time.Since(claimed) > patience/2 {
+		if vacant && time.Now().After(rest) && time.Since(proof) < 2*patience && time.Since(claimed) > patience/2 {
 			claimed = time.Now()
 			d.claim(ctx, office.Term+1, next)
 			continue
@@ -217,6 +224,9 @@
 // errSucceeded says that another entry holds a later term.
 var errSucceeded = errors.New("a later term has begun")
 
+// errDeserted says that the office was given up because no agent reaches this entry.
+var errDeserted = errors.New("no agent reaches this entry")
+
 // errResigned says that the office was given up.
 var errResigned = errors.New("given up for a planned stop")
 
@@ -313,6 +323,9 @@
 		if current, _, _ := d.parts.Replica.Office(); current.Term > office.Term {
 			return errSucceeded
 		}
+		if c.deserted(time.Now()) {
+			return errors.Join(errDeserted, d.giveUp(ctx, t))
+		}
 	}
 }
 
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -254,11 +255,11 @@
 	faults := []jobtest.Fault{{Silent: true}, {Refuse: true}, {Reset: true}, {Delay: 250 * time.Millisecond}, {Lost: 0.4}, {Lost: 0.4, Late: true}}
 	fault := faults[r.IntN(len(faults))]
 	after := func(f func()) { time.AfterFunc(length, f) }
-	switch r.IntN(12) {
+	switch r.IntN(13) {
 	case 0:
-		go s.restart(entry, func() { s.startEntry(e) }, length/3)
+		s.restart(entry, func() { s.startEntry(e) }, length/3)
 	case 1:
-		go s.restart(agent, func() { s.startAgent(a) }, length/3)
+		s.restart(agent, func() { s.startAgent(a) }, length/3)
 	case 2:
 		s.log.SetFault(entry.name, fault)
 		after(func() { s.log.SetFault(entry.name, jobtest.Fault{}) })
@@ -290,6 +291,12 @@
 		after(func() { s.network.Thaw("http://" + entry.name) })
 	case 11:
 		s.log.Expire()
+	case 12:
+		// An entry that nobody reaches, and that reaches the log: for long.
+		for _, p := range append(slices.Clone(s.agents), s.entries...) {
+			s.network.Cut("http://"+p.name, "http://"+entry.name, true)
+			time.AfterFunc(3*length, func() { s.network.Cut("http://"+p.name, "http://"+entry.name, false) })
+		}
 	}
 }
 
