--- /dev/null
+++ b/jobtest/recovery_test.go
@@ -0,0 +1,105 @@
+package jobtest_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+)
+
+// within runs a test in a bubble with a system that has settled.
+func within(t *testing.T, f func(t *testing.T, s *system)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSystem(ctx, t, 1)
+		s.workers.FailureShare = 0
+		time.Sleep(3 * time.Second)
+		f(t, s)
+		for _, b := range s.workers.Report() {
+			t.Error(b)
+		}
+		cancel()
+		time.Sleep(30 * time.Second)
+	})
+}
+
+// holder returns the entry that holds the office.
+func (s *system) holder() *process {
+	s.t.Helper()
+	for _, e := range s.entries {
+		if office, _, _ := e.replica.Office(); office.Address == e.name {
+			return e
+		}
+	}
+	s.t.Fatal("nobody holds the office")
+	return nil
+}
+
+// simpleJob is a job of independent tasks.
+func (s *system) simpleJob(tasks int, estimate time.Duration) *job.Job {
+	s.number++
+	return &job.Job{
+		ID: job.ID(fmt.Sprintf("%016x", s.number)), Spec: "spec", Service: service, Attempts: 4, Priority: 1,
+		Steps: []job.Step{{Tasks: tasks, Need: job.Need{CPU: 1000, Memory: 1000, Accelerators: 1}, Estimate: estimate}},
+	}
+}
+
+// completed waits until a job is completed and returns how long that took.
+func (s *system) completed(id job.ID, limit time.Duration) time.Duration {
+	s.t.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		if s.workers.AllDone(id) {
+			return time.Since(began)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Fatalf("job %s is not completed after %v", id, limit)
+	return 0
+}
+
+// TestTakeover measures how long jobs stand still after the dispatcher is lost in different ways. The bounds are those
+// that follow from the timing, with a second for the job itself and its way.
+func TestTakeover(t *testing.T) {
+	tests := []struct {
+		name  string
+		lose  func(s *system, e *process)
+		bound time.Duration
+	}{
+		{"killed", func(s *system, e *process) { s.network.Kill("http://" + e.name); e.cancel() }, 5 * time.Second},
+		{"cut off the log", func(s *system, e *process) { s.log.SetFault(e.name, jobtest.Fault{Silent: true}) }, 6 * time.Second},
+		{"turned away by the log", func(s *system, e *process) { s.log.SetFault(e.name, jobtest.Fault{Refuse: true}) }, 6 * time.Second},
+		{"reached by no agent", func(s *system, e *process) {
+			for _, p := range s.agents {
+				s.network.Cut("http://"+p.name, "http://"+e.name, true)
+			}
+		}, 12 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			within(t, func(t *testing.T, s *system) {
+				lost := s.holder()
+				test.lose(s, lost)
+				// Polls that were held when it was lost are answered yet.
+				time.Sleep(time.Second)
+				j := s.simpleJob(2, time.Second)
+				for i, e := range s.entries {
+					if e == lost {
+						s.number = i // submit begins at the entry after it
+					}
+				}
+				j.ID = "00000000000000ff"
+				s.submit(j, 1)
+				took := s.completed(j.ID, 60*time.Second)
+				t.Logf("completed %v after the loss", took)
+				if took > test.bound {
+					t.Errorf("completed %v after the loss, want at most %v", took, test.bound)
+				}
+			})
+		})
+	}
+}
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -48,6 +48,8 @@
 	cancel context.CancelFunc
 	intake *intake.Intake
 	runner *runner.Runner
+	// replica is an entry's.
+	replica *jobstore.Replica
 }
 
 // system is the real entries and agents on an in-memory network, log and workers.
@@ -125,6 +127,7 @@
 	log, announced := s.log.Client(p.name), s.directory.Client(p.name)
 	logger := s.logger.With().Str("entry", p.name).Logger()
 	replica := jobstore.NewReplica(log, logger)
+	p.replica = replica
 	follower := catalog.NewFollower(s.config.Client(p.name), "config", decodeCatalog, logger)
 	directory := jobstore.NewDirectory(announced, zerolog.Nop())
 	keeper := jobstore.NewKeeper(log, replica, directory.Entries, p.name, client, logger)
@@ -182,7 +185,7 @@
 	path := fmt.Sprintf("/q%d/%s", queue, j.ID)
 	doubt := false
 	for try := range 3 {
-		in := s.entries[(s.number+try)%entryCount].intake
+		in := s.entries[(s.number+1+try)%entryCount].intake
 		ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 		a, err := in.Admit(host, path, "key")
 		if err == nil {
