Starts on advised queues bring a ticket; filling tasks are kept off workers whose tasks have a target

Cause: deployments that nobody has seen may have queues with advice, and tasks that fill beside tasks that serve.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -96,6 +96,8 @@
 	RunID
 	Spec  string `json:"spec"`
 	Saved string `json:"s,omitempty"`
+	// Ticket is that of the advice service, on queues that need one.
+	Ticket string `json:"ticket,omitempty"`
 }
 
 // Answer is what the dispatcher says.
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -92,7 +92,7 @@
 	timing.Forget = s.Status() + time.Minute
 	e.dispatcher = dispatch.New(
 		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: s.InnerAddress(innerPlace), Timing: timing},
-		dispatch.Parts{Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Client: client, Logger: t.Log},
+		dispatch.Parts{Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Adviser: platform.NewAdvice(s, client), Client: client, Logger: t.Log},
 	)
 	return e
 }
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -56,6 +56,7 @@
 	took    time.Time
 	jobs    map[job.ID]*tracked
 	workers map[string]*worker
+	advice  *advice
 	// next is when the next pass is due by itself.
 	next time.Time
 }
@@ -63,7 +64,8 @@
 func newControl(timing Timing, parts Parts) *control {
 	return &control{
 		timing: timing, logger: parts.Logger, catalog: parts.Catalog, replica: parts.Replica, took: time.Now(),
-		jobs: map[job.ID]*tracked{}, workers: map[string]*worker{},
+		advice: newAdvice(parts.Adviser, parts.Logger),
+		jobs:   map[job.ID]*tracked{}, workers: map[string]*worker{},
 	}
 }
 
@@ -121,7 +123,7 @@
 		c.take(v)
 	}
 	c.expire(now, d)
-	c.plan(now)
+	c.plan(ctx, now)
 	records, err := c.changes(now)
 	if err != nil {
 		return err
@@ -131,7 +133,7 @@
 			return err
 		}
 	}
-	d.publish(c.publications())
+	d.publish(c.publications(now))
 	return nil
 }
 
@@ -306,13 +308,14 @@
 		if t.progress.Phase.Final() && now.Sub(t.progress.EndedAt) > c.timing.Forget && !t.progress.AnyPlaced() {
 			records = append(records, jobstore.ForgetRecords(id)...)
 			delete(c.jobs, id)
+			c.advice.forget(id)
 		}
 	}
 	return records, nil
 }
 
 // publications is what each worker should run.
-func (c *control) publications() map[string]publication {
+func (c *control) publications(now time.Time) map[string]publication {
 	all := make(map[string]publication, len(c.workers))
 	for name, w := range c.workers {
 		if w.life != nil {
@@ -325,10 +328,12 @@
 			if !ok || p.life != task.Life {
 				return
 			}
+			start := assignment.Start{RunID: assignment.RunID{Task: name, Run: task.Run}, Spec: t.job.Spec, Saved: task.Saved}
+			if t.job.Advised {
+				start.Ticket, _ = c.advice.ticket(stepOf(name), task.Life, now)
+			}
 			p.want[name] = wanted{
-				start: assignment.Start{
-					RunID: assignment.RunID{Task: name, Run: task.Run}, Spec: t.job.Spec, Saved: task.Saved,
-				},
+				start:    start,
 				stopping: t.stopping[name] == task.Run || t.progress.Phase == job.Cancelled || t.progress.Phase == job.Failed,
 			}
 		})
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -93,6 +93,8 @@
 	Catalog *catalog.Follower
 	// Directory is the topic in which agents look for the dispatcher.
 	Directory jobstore.Log
+	// Adviser may be nil where no queue needs advice.
+	Adviser Adviser
 	// Client calls other entries.
 	Client *http.Client
 	Logger zerolog.Logger
@@ -313,6 +315,8 @@
 		case <-changed:
 		case <-ruled:
 		case <-d.desk.news:
+		case answer := <-c.advice.answers:
+			c.advice.take(answer)
 		case <-timer.C:
 		case <-d.resign:
 			return d.giveUp(ctx, t)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -56,7 +57,9 @@
 
 // plan is one decision: it is made anew in each pass.
 type plan struct {
-	c       *control
+	c *control
+	// ctx ends with the office; questions to the adviser live in it.
+	ctx     context.Context
 	now     time.Time
 	nodes   []*node
 	racks   map[string][]*node
@@ -66,9 +69,9 @@
 }
 
 // plan decides what to start and what to stop, and notes it in the jobs' progress.
-func (c *control) plan(now time.Time) {
+func (c *control) plan(ctx context.Context, now time.Time) {
 	c.next = now.Add(c.timing.Renew)
-	p := &plan{c: c, now: now, racks: map[string][]*node{}, byName: map[string]*node{}}
+	p := &plan{c: c, ctx: ctx, now: now, racks: map[string][]*node{}, byName: map[string]*node{}}
 	p.addNodes()
 	p.addRuns()
 	p.assured = p.assuredJobs()
@@ -228,8 +231,35 @@
 	}
 }
 
+// seekAdvice asks about workers for a unit that needs tickets. It returns true while nothing more is to be said.
+func (p *plan) seekAdvice(w waiting) bool {
+	if !w.tracked.job.Advised {
+		return true
+	}
+	step := stepOf(w.unit.Tasks[0])
+	var lives []string
+	tickets := 0
+	for _, n := range p.nodes {
+		if !n.usable || !allowed(w, n) {
+			continue
+		}
+		lives = append(lives, n.life.ID)
+		if _, ok := p.c.advice.ticket(step, n.life.ID, p.now); ok {
+			tickets++
+		}
+	}
+	open := p.c.advice.unasked(step, lives, p.now)
+	if len(open) > 0 {
+		p.c.advice.ask(p.ctx, step, open)
+	}
+	return tickets > 0
+}
+
 // place starts a unit, or makes room for it, or holds room back for it.
 func (p *plan) place(w waiting) {
+	if !p.seekAdvice(w) {
+		return
+	}
 	if at := p.find(w, false); at != nil {
 		p.start(w, at)
 		return
@@ -292,7 +322,20 @@
 
 // allowed reports whether the tasks of the unit may run on the node at all.
 func allowed(w waiting, n *node) bool {
-	return n.life.Service == w.tracked.job.Service && (w.step.Label == "" || slices.Contains(n.life.Labels, w.step.Label))
+	return n.life.Service == w.tracked.job.Service && (w.step.Label == "" || slices.Contains(n.life.Labels, w.step.Label)) &&
+		!disturbs(w.step, n)
+}
+
+// disturbs reports whether the step's tasks fill beside tasks on the node that have a target for their users, or the other
+// way round. What filling costs them is not known beforehand, so the two are kept apart.
+func disturbs(step job.Step, n *node) bool {
+	if !step.Fills && step.Target == 0 {
+		return false
+	}
+	return slices.ContainsFunc(n.runs, func(r *running) bool {
+		other := r.tracked.job.Steps[r.name.Step]
+		return step.Fills && other.Target > 0 || step.Target > 0 && other.Fills
+	})
 }
 
 // bound is how many more tasks of the unit's step the node may get.
@@ -333,7 +376,7 @@
 func (p *plan) findIn(w waiting, domain []*node, later bool) []*node {
 	candidates := make([]*node, 0, len(domain))
 	for _, n := range domain {
-		if n.usable && allowed(w, n) && p.mayUse(w, n) {
+		if n.usable && allowed(w, n) && p.mayUse(w, n) && p.hasTicket(w, n) {
 			candidates = append(candidates, n)
 		}
 	}
@@ -372,6 +415,15 @@
 	return n.heldUntil.IsZero() || !p.now.Add(w.step.Estimate).After(n.heldUntil)
 }
 
+// hasTicket reports whether the unit has a ticket for the node, or needs none.
+func (p *plan) hasTicket(w waiting, n *node) bool {
+	if !w.tracked.job.Advised {
+		return true
+	}
+	_, ok := p.c.advice.ticket(stepOf(w.unit.Tasks[0]), n.life.ID, p.now)
+	return ok
+}
+
 // avoided are the workers on which tasks of the unit have failed.
 func avoided(w waiting) map[string]bool {
 	avoid := map[string]bool{}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -58,7 +58,7 @@
 }
 
 // patienceOfOwners is how long after its acceptance a job of priority 0 may wait for room before work is stopped for it.
-const patienceOfOwners = 1200 * time.Millisecond
+const patienceOfOwners = 500 * time.Millisecond
 
 // keep takes the unit's room off what others see, while what was told to stop still ends.
 func (p *plan) keep(w waiting, at []*node) {
@@ -103,7 +103,7 @@
 	for left > 0 {
 		var best clearing
 		for _, n := range domain {
-			if used[n] || !n.usable || !allowed(w, n) {
+			if used[n] || !n.usable || !allowed(w, n) || !p.hasTicket(w, n) {
 				continue
 			}
 			if c := p.clear(w, n, left, stopped); c.tasks > 0 && (best.tasks == 0 || c.lossPerTask() < best.lossPerTask()) {
