--- a/jobtest/workers.go
+++ b/jobtest/workers.go
@@ -40,6 +40,8 @@
 	failures map[job.TaskName]map[int]bool
 	// FailureShare is how many runs fail by their own fault.
 	FailureShare float64
+	// Work is how long each task works; zero is a time drawn from its name.
+	Work time.Duration
 	// Broken lists the rules that were broken.
 	Broken []string
 	// Starts counts what was started.
@@ -378,8 +380,11 @@
 	return nil
 }
 
-// workOf is how long a task works: a second to three, the same in each run.
+// workOf is how long a task works: a second to three where nothing else is set, the same in each run.
 func (ws *Workers) workOf(name job.TaskName) time.Duration {
+	if ws.Work > 0 {
+		return ws.Work
+	}
 	return time.Second + time.Duration((name.Index*37+len(ws.jobs))%20)*100*time.Millisecond
 }
 
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,240 @@
+package runner_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+	"yarrowgrade.example/yarrowgrade/runner"
+)
+
+const lease = 6 * time.Second
+
+// office is a dispatcher that wants what a test tells it to want.
+type office struct {
+	mu     sync.Mutex
+	answer assignment.Answer
+	heard  bool
+	polls  []assignment.Poll
+	down   bool
+}
+
+// Poll implements runner.Dispatcher. What a poll does not name and is wanted is started.
+func (o *office) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
+	if p.Wait {
+		time.Sleep(300 * time.Millisecond)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return assignment.Answer{}, context.DeadlineExceeded
+	}
+	o.polls = append(o.polls, p)
+	a := o.answer
+	if p.Wait {
+		a.HeldMillis = 300
+	}
+	if p.Life != nil {
+		a.Life = p.Life.ID
+	}
+	if o.heard {
+		a.Heard = p.Sequence
+	}
+	return a, nil
+}
+
+func (o *office) set(f func(a *assignment.Answer)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f(&o.answer)
+}
+
+// last is the newest poll.
+func (o *office) last() assignment.Poll {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	newest := o.polls[0]
+	for _, p := range o.polls {
+		if p.Sequence > newest.Sequence {
+			newest = p
+		}
+	}
+	return newest
+}
+
+// agent is a runner beside a stand-in worker.
+type agent struct {
+	office  *office
+	workers *jobtest.Workers
+	worker  *jobtest.Worker
+	runner  *runner.Runner
+}
+
+var task = job.TaskName{Job: "0000000000000001"}
+
+func id(run int) assignment.RunID { return assignment.RunID{Task: task, Run: run} }
+
+func within(t *testing.T, f func(t *testing.T, a *agent)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		a := &agent{workers: jobtest.NewWorkers(1), office: &office{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds()}}}
+		a.workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: job.Need{Accelerators: 1}}}})
+		a.worker = a.workers.Add("w", "s", "r", job.Need{Accelerators: 2})
+		a.runner = runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03},
+			runner.Parts{Worker: a.worker, Dispatcher: a.office, Logger: zerolog.Nop()})
+		go a.workers.Run(ctx)
+		go a.runner.Run(ctx)
+		life, _ := a.worker.Beat()
+		a.runner.Heartbeat(life)
+		time.Sleep(time.Second)
+		f(t, a)
+		for _, b := range a.workers.Report() {
+			t.Error(b)
+		}
+		cancel()
+		time.Sleep(20 * time.Second)
+	})
+}
+
+func TestRun(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.office.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		time.Sleep(500 * time.Millisecond)
+		if p := a.office.last(); len(p.Runs) != 1 || p.Runs[0].RunID != id(1) {
+			t.Errorf("the runs are %+v", p.Runs)
+		}
+		a.office.set(func(answer *assignment.Answer) { answer.Start = nil })
+		time.Sleep(4 * time.Second)
+		p := a.office.last()
+		if len(p.Runs) != 0 || len(p.Ends) != 1 || p.Ends[0].How != job.EndDone {
+			t.Errorf("after its work: runs %+v, ends %+v", p.Runs, p.Ends)
+		}
+		time.Sleep(3 * time.Second)
+		if a.workers.AllDone(task.Job) && len(a.office.last().Ends) != 1 {
+			t.Error("an end that is not kept was forgotten")
+		}
+		a.office.set(func(answer *assignment.Answer) { answer.Seen = 1 })
+		time.Sleep(time.Second)
+		if p := a.office.last(); len(p.Ends) != 0 || p.Seen != 1 {
+			t.Errorf("a kept end is still told: %+v", p.Ends)
+		}
+	})
+}
+
+// TestLeaseEnds: without a dispatcher what runs ends when the lease that it gave is over, and not before.
+func TestLeaseEnds(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.workers.Work = time.Minute
+		a.office.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		time.Sleep(500 * time.Millisecond)
+		a.office.mu.Lock()
+		a.office.down = true
+		a.office.mu.Unlock()
+		time.Sleep(time.Second)
+		if !a.workers.AnyRun(task.Job) {
+			t.Error("it ended a second after the dispatcher was gone")
+		}
+		time.Sleep(lease)
+		if a.workers.AnyRun(task.Job) {
+			t.Error("it runs longer than the lease")
+		}
+	})
+}
+
+// TestSilentWorker: what a silent worker ran is given up once its lease is surely over, and told until that was heard.
+func TestSilentWorker(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.workers.Work = time.Minute
+		a.office.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		time.Sleep(500 * time.Millisecond)
+		a.office.set(func(answer *assignment.Answer) { answer.Start = nil })
+		a.worker.SetUnreachable(true)
+		time.Sleep(4 * time.Second)
+		if p := a.office.last(); len(p.Refused) != 0 || !p.Silent {
+			t.Errorf("after 4 s: refused %+v, silent %v", p.Refused, p.Silent)
+		}
+		time.Sleep(6 * time.Second)
+		if p := a.office.last(); len(p.Refused) != 1 || p.Refused[0].RunID != id(1) || len(p.Runs) != 0 {
+			t.Errorf("after 10 s: refused %+v, runs %+v", p.Refused, p.Runs)
+		}
+		a.office.mu.Lock()
+		a.office.heard = true
+		a.office.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		if p := a.office.last(); len(p.Refused) != 0 {
+			t.Errorf("it is told again after it was heard: %+v", p.Refused)
+		}
+	})
+}
+
+// TestRefusals: a run that does not fit, or that is to stop before it came, is told as one that never starts.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		room   job.Need
+		answer func(a *assignment.Answer)
+	}{
+		{"no room", job.Need{Accelerators: 9}, func(a *assignment.Answer) { a.Start = []assignment.Start{{RunID: id(1)}} }},
+		{"stopped before it came", job.Need{Accelerators: 1}, func(a *assignment.Answer) { a.Settle = []assignment.RunID{id(1)} }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			within(t, func(t *testing.T, a *agent) {
+				a.workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: test.room}}})
+				a.office.set(test.answer)
+				time.Sleep(2 * time.Second)
+				if p := a.office.last(); len(p.Refused) != 1 || p.Refused[0].RunID != id(1) {
+					t.Errorf("refused: %+v", p.Refused)
+				}
+				a.office.set(func(answer *assignment.Answer) { *answer = assignment.Answer{Term: 1, Fence: 1, LeaseMillis: 6000, Start: []assignment.Start{{RunID: id(1)}}} })
+				time.Sleep(2 * time.Second)
+				if a.workers.AnyRun(task.Job) {
+					t.Error("it started after it was refused")
+				}
+			})
+		})
+	}
+}
+
+// TestOtherTerm: an agent does not go back to a dispatcher of a lower term.
+func TestOtherTerm(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.office.set(func(answer *assignment.Answer) { answer.Term, answer.Fence = 5, 50 })
+		time.Sleep(time.Second)
+		a.office.set(func(answer *assignment.Answer) {
+			answer.Term, answer.Fence = 4, 99
+			answer.Start = []assignment.Start{{RunID: id(1)}}
+		})
+		time.Sleep(2 * time.Second)
+		if p := a.office.last(); p.Term != 5 || len(p.Runs) != 0 {
+			t.Errorf("the term is %d and the runs are %+v", p.Term, p.Runs)
+		}
+	})
+}
+
+// TestNewLife: a life that is over is told, and its runs are forgotten.
+func TestNewLife(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.office.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		time.Sleep(500 * time.Millisecond)
+		a.office.set(func(answer *assignment.Answer) { answer.Start = nil })
+		old, _ := a.worker.Beat()
+		a.worker.Crash(time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+		life, _ := a.worker.Beat()
+		if !a.runner.Heartbeat(life) || a.runner.Heartbeat(old) {
+			t.Error("the new life must be taken and the old one not")
+		}
+		time.Sleep(time.Second)
+		if p := a.office.last(); p.Life.ID != life.ID || len(p.Runs) != 0 || len(p.Over) != 1 || p.Over[0] != old.ID {
+			t.Errorf("life %s, runs %+v, over %v", p.Life.ID, p.Runs, p.Over)
+		}
+	})
+}
