A run that was stopped before costs more to stop

What saves its work cost nothing to stop, so it was always chosen. Change: each stop costs half a second of the task, and 0.3 of its estimate for each earlier run.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -163,11 +163,22 @@
 		left = worked * time.Duration(100-o.percent) / time.Duration(o.percent)
 	}
 	r.ends = p.now.Add(left)
+	lost := restartCost
 	if !step.Checkpoint {
-		r.loss = worked.Seconds() * weight(step.Need)
+		lost += worked
 	}
+	// What has been stopped before costs more each time, or it would be stopped again and again.
+	lost += time.Duration(repeatCost * float64(r.run-1) * float64(step.Estimate))
+	r.loss = lost.Seconds() * weight(step.Need)
 }
 
+// Costs of a stop beside the work that it throws away: the time until the task works again, and what is added for each
+// earlier run, as a share of the task's estimate.
+const (
+	restartCost = 500 * time.Millisecond
+	repeatCost  = 0.3
+)
+
 // weight is what a second of a task is worth, in core-seconds.
 func weight(n job.Need) float64 { return float64(n.CPU)/1000 + 8*float64(n.Accelerators) }
 
