--- a/cmd/yarrowgraded/jobagent.go
+++ b/cmd/yarrowgraded/jobagent.go
@@ -60,7 +60,7 @@
 		return err
 	}
 	t.Log.Info().Str("step", "start").Str("zone", s.Zone).Str("worker", s.App).Msg("agent starts")
-	go onHangup(ctx, t.Log)
+	go onHangup(ctx, t.Log, make(chan struct{}))
 	var wg conc.WaitGroup
 	wg.Go(func() { directory.Run(ctx) })
 	wg.Go(func() { r.Run(ctx) })
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -116,7 +116,7 @@
 		jobstore.AnnounceEntry(running, e.announced, e.settings.Node, e.settings.InnerAddress(innerPlace))
 	})
 	e.telemetry.Log.Info().Str("step", "start").Str("zone", e.settings.Zone).Str("address", e.settings.InnerAddress(innerPlace)).Msg("entry starts")
-	go onHangup(running, e.telemetry.Log)
+	go onHangup(running, e.telemetry.Log, make(chan struct{}))
 	<-ctx.Done()
 	e.telemetry.Log.Info().Str("step", "stop").Msg("entry leaves")
 	close(e.leaving)
@@ -160,11 +160,12 @@
 }
 
 // onHangup reads the settings again at each SIGHUP until ctx ends. None of those that are used may change in the life of a
-// process, so a change is told, and takes effect with the next life.
-func onHangup(ctx context.Context, log zerolog.Logger) {
+// process, so a change is told, and takes effect with the next life. Ready is closed once it listens.
+func onHangup(ctx context.Context, log zerolog.Logger, ready chan<- struct{}) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	close(ready)
 	for {
 		select {
 		case <-hangups:
--- /dev/null
+++ b/dispatch/control_test.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"testing"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// reported is a poll of the worker on which the only task of a job is placed.
+func (b *bench) reported(t *tracked) (w *worker, id assignment.RunID, poll assignment.Poll) {
+	name := job.TaskName{Job: t.job.ID}
+	task := t.progress.Task(name)
+	w = b.control.workers[task.Worker]
+	return w, assignment.RunID{Task: name, Run: task.Run}, assignment.Poll{Worker: w.name, Life: w.life, Listed: true}
+}
+
+// TestEndsBeforeOver: what has ended done is done, also if the same poll says that its life is over.
+func TestEndsBeforeOver(t *testing.T) {
+	b := newBench(t, 1, 1)
+	j := b.job(1, "other", job.Step{Tasks: 1})
+	b.plan(0)
+	w, id, poll := b.reported(j)
+	poll.Ends = []assignment.End{{RunID: id, Number: 1, How: job.EndDone}}
+	poll.Over = []string{w.life.ID}
+	b.control.report(b.now, w, poll)
+	if j.progress.Phase != job.Completed {
+		t.Errorf("the job is %v, want completed", j.progress.Phase)
+	}
+}
+
+// TestLateRefusal: a refusal of a run that has ended is passed over, and the worker does not rest for it.
+func TestLateRefusal(t *testing.T) {
+	b := newBench(t, 1, 1)
+	j := b.job(1, "other", job.Step{Tasks: 1})
+	b.plan(0)
+	w, id, poll := b.reported(j)
+	poll.Ends = []assignment.End{{RunID: id, Number: 1, How: job.EndDone}}
+	poll.Refused = []assignment.Refusal{{RunID: id, Reason: "over"}}
+	b.control.report(b.now, w, poll)
+	if j.progress.Phase != job.Completed || w.trust.resting(b.now) {
+		t.Errorf("the job is %v, the worker rests: %v", j.progress.Phase, w.trust.resting(b.now))
+	}
+}
+
+// TestNewLifeLosesRuns: what ran in an earlier life of a worker is placed again.
+func TestNewLifeLosesRuns(t *testing.T) {
+	b := newBench(t, 1, 1)
+	j := b.job(1, "other", job.Step{Tasks: 1})
+	b.plan(0)
+	w, _, poll := b.reported(j)
+	next := *w.life
+	next.ID = "next"
+	poll.Life = &next
+	b.control.report(b.now, w, poll)
+	if got := b.at(j); len(got) != 0 {
+		t.Fatalf("it is still placed on %v", got)
+	}
+	b.plan(0)
+	if task := j.progress.Task(job.TaskName{Job: j.job.ID}); task.Run != 2 || task.Life != "next" {
+		t.Errorf("run %d on %s, want run 2 on the next life", task.Run, task.Life)
+	}
+}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -263,6 +263,21 @@
 			t.Errorf("told to stop: old %d, saves %d, young %d; want only what saves its work", len(old.stopping), len(saves.stopping), len(young.stopping))
 		}
 	})
+	t.Run("what was stopped before yields later", func(t *testing.T) {
+		b := newBench(t, 1, 2)
+		before := b.job(1, "other", job.Step{Tasks: 1, Checkpoint: true})
+		b.plan(0)
+		b.finish(before, job.EndStopped)
+		other := b.job(1, "other", job.Step{Tasks: 1, Checkpoint: true})
+		b.plan(0)
+		b.observe(before, b.now, 10)
+		b.observe(other, b.now, 10)
+		b.job(0, "sure", job.Step{Tasks: 1})
+		b.plan(time.Second)
+		if len(before.stopping) != 0 || len(other.stopping) != 1 {
+			t.Errorf("told to stop: the one stopped before %d, the other %d", len(before.stopping), len(other.stopping))
+		}
+	})
 	t.Run("freed room is kept for the one it was freed for", func(t *testing.T) {
 		b := newBench(t, 1, 1)
 		victim := b.job(2, "other", job.Step{Tasks: 1})
