--- a/client/client.go
+++ b/client/client.go
@@ -18,6 +18,7 @@
 
 	"yarrowgrade.example/yarrowgrade/entry"
 	"yarrowgrade.example/yarrowgrade/fault"
+	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/policy"
@@ -88,6 +89,18 @@
 	return list, c.call(ctx, "Workers", http.MethodGet, "/v1/workers", nil, &list)
 }
 
+// Jobs lists the jobs that a job entry knows.
+func (c *Client) Jobs(ctx context.Context) ([]intake.JobSummary, error) {
+	var list []intake.JobSummary
+	return list, c.call(ctx, "Jobs", http.MethodGet, "/v1/jobs", nil, &list)
+}
+
+// Job returns a job with its tasks.
+func (c *Client) Job(ctx context.Context, id string) (intake.JobDetail, error) {
+	var v intake.JobDetail
+	return v, c.call(ctx, "Job", http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil, &v)
+}
+
 // Status returns what all entries tell.
 func (c *Client) Status(ctx context.Context) (entry.Status, error) {
 	var v entry.Status
--- a/cmd/yarrowgrade/main.go
+++ b/cmd/yarrowgrade/main.go
@@ -55,6 +55,7 @@
 	Request requestCommands `cmd:"" help:"Send requests to targets."`
 	Status  statusCommand   `cmd:"" help:"Show each entry and agent: what is in force, lag, leaving or live, log reachable or not."`
 	Explain explainCommand  `cmd:"" help:"Say why a session waits."`
+	Job     jobCommands     `cmd:"" help:"List and show jobs on the users' platform."`
 	Trace   traceCommand    `cmd:"" help:"Put the log lines of one id from several processes into one order."`
 }
 
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -142,6 +142,8 @@
 	inner.HandlerFunc(http.MethodPost, assignment.Path, e.dispatcher.ServePoll)
 	inner.HandlerFunc(http.MethodPost, jobstore.KeepPath, e.keeper.ServeKeep)
 	inner.HandlerFunc(http.MethodGet, assignment.OfficePath, e.dispatcher.ServeOffice)
+	intake.NewOperators(e.replica).Register(inner)
+	inner.Handler(http.MethodGet, "/metrics", e.telemetry.MetricsHandler)
 	handlers := map[string]http.Handler{
 		e.settings.Listen.Front:             platform.NewCallers(e.intake),
 		e.settings.Listen.Ready:             platform.Ready(e.ready),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -11,8 +11,6 @@
 
 // Weights and bounds of the plan.
 const (
-	// spreadFactor is how much longer a task takes away from its data, or a gang over several racks.
-	spreadFactor = 3
 	// dataPatience is how long, in estimates of a task, a task waits for room near its data.
 	dataPatience = 1.5
 	// reservations is how many waiting gangs have room held back for them at once.
@@ -103,6 +101,7 @@
 	p.addRuns()
 	p.assured = p.assuredJobs()
 	p.moveStalled()
+	p.evacuate()
 	for _, w := range p.waiting() {
 		p.place(w)
 	}
@@ -264,9 +263,7 @@
 	for k := range t.job.Rounds() {
 		due := t.job.DueAt(k)
 		if due.After(p.now) {
-			if due.Before(p.c.next) {
-				p.c.next = due
-			}
+			p.wakeAt(due)
 			return
 		}
 	}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -365,6 +365,28 @@
 	})
 }
 
+// TestEvacuation: off a leaving worker goes what can't end there, what saves its work as late as it can.
+func TestEvacuation(t *testing.T) {
+	b := newBench(t, 1, 1)
+	small := job.Need{CPU: 1000, Memory: 1000, Accelerators: 1}
+	ends := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 2 * time.Second})
+	loses := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second})
+	saves := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second, Checkpoint: true})
+	lasts := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second, Lasts: true})
+	b.plan(0)
+	w := b.control.workers["w0-0"]
+	w.life.Leaving, w.leaves = true, b.now.Add(4*time.Second)
+	b.plan(100 * time.Millisecond)
+	stopped := func(j *tracked) bool { return len(j.stopping) > 0 }
+	if stopped(ends) || !stopped(loses) || stopped(saves) || stopped(lasts) {
+		t.Errorf("told to stop at once: %v %v %v %v, want only the second", stopped(ends), stopped(loses), stopped(saves), stopped(lasts))
+	}
+	b.plan(2800 * time.Millisecond)
+	if !stopped(saves) || stopped(lasts) {
+		t.Errorf("shortly before the end: what saves %v, what lasts %v", stopped(saves), stopped(lasts))
+	}
+}
+
 // TestReservation: work that is not urgent does not take the room that a large gang waits for, unless it ends in time.
 func TestReservation(t *testing.T) {
 	b := newBench(t, 1, 2)
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -293,3 +293,41 @@
 		}
 	}
 }
+
+// Bounds of what is moved off a leaving worker.
+const (
+	// stayMargin is how long before the worker may go a run must end to be left alone.
+	stayMargin = 200 * time.Millisecond
+	// saveAhead is how long before that a run that saves its work is stopped: a stop takes up to 0.9 s on the users' sites.
+	saveAhead = 1300 * time.Millisecond
+)
+
+// evacuate stops runs on leaving workers that can't end there in time: those that lose their work anyway at once, the
+// others as late as their checkpoint allows. What lasts stays: it serves as long as the worker does.
+func (p *plan) evacuate() {
+	for _, n := range p.nodes {
+		if !n.life.Leaving || n.worker.leaves.IsZero() {
+			continue
+		}
+		last := n.worker.leaves.Add(-stayMargin)
+		for _, r := range n.runs {
+			step := r.tracked.job.Steps[r.name.Step]
+			switch {
+			case step.Lasts || r.stopping || !r.ends.After(last):
+			case !step.Checkpoint:
+				p.stop(r, "its worker leaves before it ends")
+			case !p.now.Before(n.worker.leaves.Add(-saveAhead)):
+				p.stop(r, "its worker leaves, and its work is saved")
+			default:
+				p.wakeAt(n.worker.leaves.Add(-saveAhead))
+			}
+		}
+	}
+}
+
+// wakeAt sees to it that a pass comes at that time.
+func (p *plan) wakeAt(at time.Time) {
+	if at.Before(p.c.next) {
+		p.c.next = at
+	}
+}
--- /dev/null
+++ b/intake/operators_test.go
@@ -0,0 +1,54 @@
+package intake_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/intake"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+)
+
+func TestOperators(t *testing.T) {
+	j := &job.Job{ID: "00000000000000ab", Queue: "q", Team: "t", Steps: []job.Step{{Tasks: 2}}, Accepted: time.Unix(0, 0)}
+	submission, err := jobstore.SubmissionRecord(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := job.NewProgress()
+	p.Assign(job.TaskName{Job: j.ID, Index: 1}, 3, "worker-7", "life")
+	progress, err := jobstore.ProgressRecord(j.ID, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	replica := jobstore.NewReplica(jobtest.NewLog(1).Client("e"), zerolog.Nop())
+	replica.Note([]jobstore.Record{submission, progress}, 0)
+	router := httprouter.New()
+	intake.NewOperators(replica).Register(router)
+	tests := []struct {
+		path   string
+		status int
+		answer string
+	}{
+		{"/v1/jobs", http.StatusOK, `"phase":"running"`},
+		{"/v1/jobs/00000000000000ab", http.StatusOK, `"name":"00000000000000ab.0.0.1","r":3,"w":"worker-7"`},
+		{"/v1/jobs/00000000000000cd", http.StatusNotFound, "no such job"},
+		{"/v1/jobs/x", http.StatusBadRequest, `"field":"id"`},
+	}
+	for _, test := range tests {
+		t.Run(test.path, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			router.ServeHTTP(w, httptest.NewRequest(http.MethodGet, test.path, nil))
+			if w.Code != test.status || !strings.Contains(w.Body.String(), test.answer) {
+				t.Errorf("got %d %s, want %d with %s", w.Code, w.Body, test.status, test.answer)
+			}
+		})
+	}
+}
--- a/job/progress.go
+++ b/job/progress.go
@@ -144,13 +144,20 @@
 	return p.tasks[s]
 }
 
+// Each calls f for each task that has been placed at least once, in no order.
+func (p *Progress) Each(id ID, f func(TaskName, *Task)) {
+	for s, t := range p.tasks {
+		f(TaskName{Job: id, Round: s.round, Step: s.step, Index: s.index}, t)
+	}
+}
+
 // Placed calls f for each task that takes room on a worker, in no order.
 func (p *Progress) Placed(id ID, f func(TaskName, *Task)) {
-	for s, t := range p.tasks {
+	p.Each(id, func(name TaskName, t *Task) {
 		if t.Placed() {
-			f(TaskName{Job: id, Round: s.round, Step: s.step, Index: s.index}, t)
+			f(name, t)
 		}
-	}
+	})
 }
 
 // AnyPlaced reports whether a task of the job takes room on a worker.
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -212,6 +213,31 @@
 	return views
 }
 
+// View returns all that is stored of one job.
+func (r *Replica) View(id job.ID) (View, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.jobs[id]
+	if e == nil || e.submission == nil {
+		return View{}, false
+	}
+	return e.view(id), true
+}
+
+// IDs returns all jobs that are stored.
+func (r *Replica) IDs() []job.ID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make([]job.ID, 0, len(r.jobs))
+	for id, e := range r.jobs {
+		if e.submission != nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Take returns the jobs whose submission or cancel came since All or Take.
 func (r *Replica) Take() []View {
 	r.mu.Lock()
