An outage of the log moves the office no more; entries that are not there are not asked

A caller was held for 0.7 s by a question to an entry that had been taken away. Change: polls are counted where they arrive; after a gap in its own reads an entry gives the holder its time; an entry that is not there is not asked again for 5 s.

--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -270,17 +270,8 @@
 	}
 }
 
-// deserted reports whether there is work to do and no agent has been heard of for long.
-func (c *control) deserted(now time.Time) bool {
-	latest := c.took
-	for _, w := range c.workers {
-		if w.heard.After(latest) {
-			latest = w.heard
-		}
-	}
-	if now.Sub(latest) < c.timing.Desertion {
-		return false
-	}
+// busy reports whether there is work to do.
+func (c *control) busy() bool {
 	for _, t := range c.jobs {
 		if !t.progress.Phase.Final() || t.progress.AnyPlaced() {
 			return true
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -53,6 +53,8 @@
 	fences int64
 	proof  time.Time
 	synced bool
+	// heard is when any agent polled last.
+	heard  time.Time
 	places map[string]*place
 	// published is closed and replaced at each publication.
 	published chan struct{}
@@ -66,7 +68,7 @@
 func (d *desk) open(term int64, proof time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.term, d.fences, d.proof, d.synced = term, 0, proof, false
+	d.term, d.fences, d.proof, d.synced, d.heard = term, 0, proof, false, time.Now()
 	d.places = map[string]*place{}
 }
 
@@ -87,6 +89,14 @@
 	}
 }
 
+// silence is for how long no agent has polled. It does not wait for the control goroutine, which may stand still as long as
+// the log does not answer.
+func (d *desk) silence(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.heard)
+}
+
 func (d *desk) announce() {
 	close(d.published)
 	d.published = make(chan struct{})
@@ -131,6 +141,7 @@
 	if d.term == 0 || poll.Term > d.term {
 		return false
 	}
+	d.heard = time.Now()
 	p := d.placeOf(poll.Worker)
 	if p.former[poll.Agent] {
 		return false
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -137,8 +137,9 @@
 // await returns when this entry holds a term above the one that it has lost. It claims none before the end of the rest.
 func (d *Dispatcher) await(ctx context.Context, lost int64, rest time.Time) (jobstore.Office, bool) {
 	patience := d.settings.Timing.Patience + rand.N(d.settings.Timing.Patience/5)
+	// watching is since when this entry has been able to see a sign: after a gap in its own reads the holder gets its time.
 	watching := time.Now()
-	var claimed, asked time.Time
+	var claimed, asked, last time.Time
 	for {
 		changed := d.parts.Replica.Changed()
 		office, sign, next := d.parts.Replica.Office()
@@ -146,7 +147,11 @@
 			return office, true
 		}
 		proof := d.parts.Replica.Proof()
-		if sign.IsZero() {
+		if !last.IsZero() && proof.Sub(last) > d.settings.Timing.Doubt*2 {
+			watching = time.Now()
+		}
+		last = proof
+		if sign.Before(watching) {
 			sign = watching
 		}
 		// The proof must be younger than the sign by the time waited: the holder's silence is not this entry's own deafness.
@@ -327,7 +332,7 @@
 		if current, _, _ := d.parts.Replica.Office(); current.Term > office.Term {
 			return errSucceeded
 		}
-		if c.deserted(time.Now()) {
+		if d.desk.silence(time.Now()) > d.settings.Timing.Desertion && c.busy() {
 			return errors.Join(errDeserted, d.giveUp(ctx, t))
 		}
 	}
--- a/jobstore/keeper.go
+++ b/jobstore/keeper.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +25,9 @@
 	// hedgeAfter is how long a try may take before the next entry is asked beside it. The same record twice is harmless.
 	hedgeAfter = 350 * time.Millisecond
 	keepPause  = 150 * time.Millisecond
+	// askTimeout bounds a question to another entry; one that was not there is not asked again for awayFor.
+	askTimeout = 500 * time.Millisecond
+	awayFor    = 5 * time.Second
 	// keepProof is how old the last answer of the log may be so that a record is sent there. A log that has been silent
 	// for longer would leave it uncertain whether the record is kept.
 	keepProof = 1200 * time.Millisecond
@@ -39,11 +43,15 @@
 	self   string
 	client *http.Client
 	logger zerolog.Logger
+
+	mu sync.Mutex
+	// unreached holds when an entry was last found not to be there.
+	unreached map[string]time.Time
 }
 
 // NewKeeper returns a keeper.
 func NewKeeper(log Log, replica *Replica, peers func() []string, self string, client *http.Client, logger zerolog.Logger) *Keeper {
-	return &Keeper{log: log, replica: replica, peers: peers, self: self, client: client, logger: logger}
+	return &Keeper{log: log, replica: replica, peers: peers, self: self, client: client, logger: logger, unreached: map[string]time.Time{}}
 }
 
 // kept is the answer to KeepPath.
@@ -90,13 +98,20 @@
 		})
 	}
 	for _, address := range k.peers() {
-		if address != k.self {
+		if address != k.self && !k.isAway(address) {
 			tries = append(tries, func(ctx context.Context) (int64, error) { return k.ask(ctx, address, record) })
 		}
 	}
 	return tries
 }
 
+// isAway reports whether an entry was found not to be there a short while ago: asking it would only take time.
+func (k *Keeper) isAway(address string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Since(k.unreached[address]) < awayFor
+}
+
 func (k *Keeper) reachesLog() bool {
 	proof := k.replica.Proof()
 	return !proof.IsZero() && time.Since(proof) < keepProof
@@ -150,9 +165,17 @@
 // ask has another entry keep the record.
 func (k *Keeper) ask(ctx context.Context, address string, record Record) (int64, error) {
 	var answer kept
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	err := jsonhttp.Call(ctx, k.client, "jobstore.ask", http.MethodPost, "http://"+address, KeepPath, record, &answer)
+	if fault.NotReached(err) {
+		k.mu.Lock()
+		k.unreached[address] = time.Now()
+		k.mu.Unlock()
+		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
 	var status *jsonhttp.StatusError
-	if errors.As(err, &status) && status.Status == http.StatusServiceUnavailable || fault.NotReached(err) {
+	if errors.As(err, &status) && status.Status == http.StatusServiceUnavailable {
 		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	return answer.Offset, err
--- a/jobtest/recovery_test.go
+++ b/jobtest/recovery_test.go
@@ -103,3 +103,26 @@
 		})
 	}
 }
+
+// TestOutage: while the log is away for all, the dispatcher keeps the office, work that runs goes on, and after it jobs go
+// on at once.
+func TestOutage(t *testing.T) {
+	within(t, func(t *testing.T, s *system) {
+		s.workers.Work = 8 * time.Second
+		running := s.simpleJob(2, 8*time.Second)
+		s.submit(running, 1)
+		time.Sleep(time.Second)
+		before := s.holder()
+		s.log.SetFault("", jobtest.Fault{Silent: true})
+		time.Sleep(5500 * time.Millisecond)
+		s.log.SetFault("", jobtest.Fault{})
+		time.Sleep(2 * time.Second)
+		if after := s.holder(); after != before {
+			t.Errorf("the office went from %s to %s", before.name, after.name)
+		}
+		s.completed(running.ID, 5*time.Second)
+		if s.workers.Starts != 2 {
+			t.Errorf("%d runs started, want 2: work was lost by the outage", s.workers.Starts)
+		}
+	})
+}
