--- /dev/null
+++ b/dispatch/room.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// dataPatience is how long, in estimates of a task, a task waits for room near its data.
+const dataPatience = 1.5
+
+// search is what a search for room depends on.
+type search struct {
+	service, label, dataRack string
+	need                     job.Need
+	tasks                    int
+	gang, sameRack           bool
+	fills, target            bool
+	estimate                 time.Duration
+	// job is set where the outcome depends on what else of the job runs, or on what was said of it.
+	job job.ID
+}
+
+// searchOf returns what the search for a unit's room depends on.
+func searchOf(w waiting) search {
+	s := search{
+		service: w.tracked.job.Service, label: w.step.Label, dataRack: w.step.DataRack, need: w.step.Reserved(),
+		tasks: len(w.unit.Tasks), gang: w.step.Gang, sameRack: w.step.SameRack, fills: w.step.Fills, target: w.step.Target > 0,
+		estimate: w.step.Estimate,
+	}
+	if w.step.PerWorker > 0 || w.tracked.job.Advised || w.step.DataRack != "" {
+		s.job = w.tracked.job.ID
+	}
+	return s
+}
+
+// domains are the sets of nodes within which a unit may be placed, the better ones first.
+func (p *plan) domains(w waiting) [][]*node {
+	if w.step.DataRack != "" {
+		near := p.racks[w.step.DataRack]
+		waited := p.now.Sub(w.tracked.job.Accepted)
+		if len(near) > 0 && (!w.step.Gang || p.canEverFit(w, near)) && waited < time.Duration(dataPatience*float64(w.step.Estimate)) {
+			return [][]*node{near}
+		}
+		return [][]*node{near, p.nodes}
+	}
+	if !w.step.Gang || !w.step.SameRack {
+		return [][]*node{p.nodes}
+	}
+	var racks [][]*node
+	for _, rack := range p.racks {
+		if p.canEverFit(w, rack) {
+			racks = append(racks, rack)
+		}
+	}
+	if len(racks) == 0 {
+		return [][]*node{p.nodes}
+	}
+	slices.SortFunc(racks, func(a, b []*node) int {
+		return cmp.Or(cmp.Compare(freeAccelerators(a), freeAccelerators(b)), cmp.Compare(a[0].name, b[0].name))
+	})
+	return racks
+}
+
+func freeAccelerators(nodes []*node) int {
+	sum := 0
+	for _, n := range nodes {
+		sum += n.free.Accelerators
+	}
+	return sum
+}
+
+// canEverFit reports whether the unit would fit into the nodes if they were empty.
+func (p *plan) canEverFit(w waiting, nodes []*node) bool {
+	left := len(w.unit.Tasks)
+	for _, n := range nodes {
+		if !n.life.Leaving && allowed(w, n) {
+			left -= count(w.step.Reserved(), n.life.Room, bound(w, n))
+		}
+	}
+	return left <= 0
+}
+
+// allowed reports whether the tasks of the unit may run on the node at all.
+func allowed(w waiting, n *node) bool {
+	return n.life.Service == w.tracked.job.Service && (w.step.Label == "" || slices.Contains(n.life.Labels, w.step.Label)) &&
+		!disturbs(w.step, n)
+}
+
+// disturbs reports whether the step's tasks fill beside tasks on the node that have a target for their users, or the other
+// way round. What filling costs them is not known beforehand, so the two are kept apart.
+func disturbs(step job.Step, n *node) bool {
+	if !step.Fills && step.Target == 0 {
+		return false
+	}
+	return slices.ContainsFunc(n.runs, func(r *running) bool {
+		other := r.tracked.job.Steps[r.name.Step]
+		return step.Fills && other.Target > 0 || step.Target > 0 && other.Fills
+	})
+}
+
+// bound is how many more tasks of the unit's step the node may get.
+func bound(w waiting, n *node) int {
+	if w.step.PerWorker == 0 {
+		return len(w.unit.Tasks)
+	}
+	there := 0
+	for _, r := range n.runs {
+		if r.name.Job == w.tracked.job.ID && r.name.Step == w.unit.Step && r.name.Round == w.unit.Round {
+			there++
+		}
+	}
+	return max(w.step.PerWorker-there, 0)
+}
+
+// count is how many tasks fit into the room, most at the most.
+func count(need, room job.Need, most int) int {
+	n := 0
+	for n < most && need.Fits(room) {
+		room = room.Plus(need, -1)
+		n++
+	}
+	return n
+}
+
+// find returns a node for each task of the unit, or nil. With later it counts what was told to stop as gone.
+func (p *plan) find(w waiting, later bool) []*node {
+	for _, domain := range p.domains(w) {
+		if at := p.findIn(w, domain, later); at != nil {
+			return at
+		}
+	}
+	return nil
+}
+
+// findIn fills the nodes that are the fullest first, so that what is left free stays together.
+func (p *plan) findIn(w waiting, domain []*node, later bool) []*node {
+	room := func(n *node) job.Need {
+		if later {
+			return n.later
+		}
+		return n.free
+	}
+	need := w.step.Reserved()
+	var candidates []*node
+	for _, n := range domain {
+		if n.usable && need.Fits(room(n)) && allowed(w, n) && p.mayUse(w, n) && p.hasTicket(w, n) {
+			candidates = append(candidates, n)
+		}
+	}
+	avoid := avoided(w)
+	slices.SortStableFunc(candidates, func(a, b *node) int {
+		return cmp.Or(
+			compareBool(avoid[a.name], avoid[b.name]),
+			cmp.Compare(room(a).Accelerators, room(b).Accelerators),
+			cmp.Compare(room(a).CPU, room(b).CPU),
+		)
+	})
+	var at []*node
+	for _, n := range candidates {
+		most := min(bound(w, n), len(w.unit.Tasks)-len(at))
+		if n.trust.doubted() {
+			most = min(most, 1)
+		}
+		for range count(need, room(n), most) {
+			at = append(at, n)
+		}
+		if len(at) == len(w.unit.Tasks) {
+			return at
+		}
+	}
+	return nil
+}
+
+// mayUse reports whether the unit may use a node that is held back for a gang: only if it ends in time.
+func (p *plan) mayUse(w waiting, n *node) bool {
+	return n.heldUntil.IsZero() || !p.now.Add(w.step.Estimate).After(n.heldUntil)
+}
+
+// hasTicket reports whether the unit has a ticket for the node, or needs none.
+func (p *plan) hasTicket(w waiting, n *node) bool {
+	if !w.tracked.job.Advised {
+		return true
+	}
+	_, ok := p.c.advice.ticket(stepOf(w.unit.Tasks[0]), n.life.ID, p.now)
+	return ok
+}
+
+// avoided are the workers on which tasks of the unit have failed.
+func avoided(w waiting) map[string]bool {
+	avoid := map[string]bool{}
+	for _, name := range w.unit.Tasks {
+		if t := w.tracked.progress.Task(name); t != nil && t.Avoid != "" {
+			avoid[t.Avoid] = true
+		}
+	}
+	return avoid
+}
