--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -28,6 +28,9 @@
 
 // Poll implements runner.Dispatcher. What a poll does not name and is wanted is started.
 func (o *office) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
+	o.mu.Lock()
+	o.polls = append(o.polls, p)
+	o.mu.Unlock()
 	if p.Wait {
 		time.Sleep(300 * time.Millisecond)
 	}
@@ -36,7 +39,6 @@
 	if o.down {
 		return assignment.Answer{}, context.DeadlineExceeded
 	}
-	o.polls = append(o.polls, p)
 	a := o.answer
 	if p.Wait {
 		a.HeldMillis = 300
