Each bad call leaves one log line

Cause: bodies that can't be read, unknown queues and keys were answered without a line, so an id could not be followed to its refusal. Change: intake tells of each call that it does not admit and of each body that it rejects. platform.TestCallers checks that each bad call leaves exactly one line.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -91,6 +91,14 @@
 
 // Admit finds the queue, the team and the job of a call.
 func (in *Intake) Admit(host, path, key string) (Admission, error) {
+	a, err := in.admit(host, path, key)
+	if err != nil {
+		in.parts.Logger.Info().Str("step", "intake.admit").Str("host", host).Str("path", path).Err(err).Msg("call is not admitted")
+	}
+	return a, err
+}
+
+func (in *Intake) admit(host, path, key string) (Admission, error) {
 	c, proof := in.parts.Catalog.Current()
 	if c == nil || time.Since(proof) >= in.settings.KeyProof-keyMargin {
 		return Admission{}, ErrNotReady
@@ -136,6 +144,12 @@
 	return nil
 }
 
+// Reject notes that the body of an admitted call can't be read as a job. It returns the error.
+func (in *Intake) Reject(a Admission, err error) error {
+	in.refused(a, err)
+	return err
+}
+
 func (in *Intake) refused(a Admission, err error) {
 	in.parts.Logger.Info().Str("step", "intake.submit").Str("job", string(a.Job)).Str("queue", a.Queue.Name).Err(err).Msg("job is not accepted")
 }
