--- a/jobtest/rules.go
+++ b/jobtest/rules.go
@@ -114,3 +114,10 @@
 	}
 	return false
 }
+
+// EverRan reports whether a task of a job was ever started anywhere.
+func (ws *Workers) EverRan(id job.ID) bool {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return ws.begun[id]
+}
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -333,8 +333,8 @@
 		t.Error(b)
 	}
 	for id := range s.refused {
-		if s.refused[id] && s.workers.AnyRun(id) {
-			t.Errorf("REFUSED: %s runs, but every try to hand it in was refused", id)
+		if s.refused[id] && s.workers.EverRan(id) {
+			t.Errorf("REFUSED: %s ran, but every try to hand it in was refused", id)
 		}
 	}
 	for id := range s.accepted {
--- a/jobtest/workers.go
+++ b/jobtest/workers.go
@@ -44,8 +44,9 @@
 	Work time.Duration
 	// Broken lists the rules that were broken.
 	Broken []string
-	// Starts counts what was started.
+	// Starts counts what was started; begun holds the jobs of which anything ever was.
 	Starts int
+	begun  map[job.ID]bool
 }
 
 // NewWorkers returns no workers yet.
@@ -53,6 +54,7 @@
 	return &Workers{
 		random: rand.New(rand.NewPCG(seed, 1)), started: time.Now(), jobs: map[job.ID]*job.Job{}, workers: map[string]*Worker{},
 		done: map[job.TaskName]bool{}, acked: map[job.TaskName]bool{}, failures: map[job.TaskName]map[int]bool{},
+		begun: map[job.ID]bool{},
 	}
 }
 
@@ -377,6 +379,7 @@
 	}
 	w.runs[s.Task] = r
 	w.all.Starts++
+	w.all.begun[s.Task.Job] = true
 	return nil
 }
 
