An entry that gave the office up claims it no more

Change: a resigned dispatcher leaves the watch before anything else. Appends that took long are logged.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -116,6 +116,16 @@
 // Resign gives the office up, if it is held, and never claims it again.
 func (d *Dispatcher) Resign() { close(d.resign) }
 
+// resigned reports whether Resign was called: an entry that leaves must not claim again the office that it has given up.
+func (d *Dispatcher) resigned() bool {
+	select {
+	case <-d.resign:
+		return true
+	default:
+		return false
+	}
+}
+
 // Run waits for the office and holds it, again and again, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	lost := int64(-1)
@@ -141,6 +151,9 @@
 	watching := time.Now()
 	var claimed, asked, last time.Time
 	for {
+		if d.resigned() {
+			return jobstore.Office{}, false
+		}
 		changed := d.parts.Replica.Changed()
 		office, sign, next := d.parts.Replica.Office()
 		if office.Holder == d.settings.Holder && office.Term > lost {
@@ -218,6 +231,8 @@
 	appendTimeout = 900 * time.Millisecond
 	shortAppend   = 400 * time.Millisecond
 	appendPause   = 60 * time.Millisecond
+	// slowAppend is from when on an append's time is logged.
+	slowAppend = 100 * time.Millisecond
 )
 
 // writeTimeout bounds a try of an append: after failures most are short, so that a log that is back is noticed soon.
@@ -250,6 +265,7 @@
 func (t *term) write(ctx context.Context, records []jobstore.Record) error {
 	t.sequence++
 	condition := jobstore.Condition{Producer: jobstore.TermOf(t.office.Term, t.sequence)}
+	began := time.Now()
 	for try := 0; ; try++ {
 		sent := time.Now()
 		attempt, cancel := context.WithTimeout(ctx, writeTimeout(try))
@@ -257,6 +273,10 @@
 		cancel()
 		switch {
 		case err == nil:
+			if took := time.Since(sent); try > 0 || took > slowAppend {
+				t.parts.Logger.Info().Str("step", "dispatch.write").Int64("term", t.office.Term).Int("tries", try+1).
+					Dur("took_ms", time.Since(began)).Dur("answered_in_ms", took).Int("records", len(records)).Msg("append took long")
+			}
 			t.written = sent
 			t.desk.prove(sent)
 			t.parts.Replica.Note(records, offset)
--- a/jobtest/recovery_test.go
+++ b/jobtest/recovery_test.go
@@ -126,3 +126,27 @@
 		}
 	})
 }
+
+// TestResign: an entry that leaves as planned gives the office up, and another one has it at once. The leaving one, which
+// goes on reading for some seconds, must not claim it again.
+func TestResign(t *testing.T) {
+	for seed := range 5 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			within(t, func(t *testing.T, s *system) {
+				time.Sleep(time.Duration(seed) * 70 * time.Millisecond)
+				leaving := s.holder()
+				began := time.Now()
+				leaving.dispatcher.Resign()
+				j := s.simpleJob(2, time.Second)
+				s.submit(j, 1)
+				s.completed(j.ID, 20*time.Second)
+				if took := time.Since(began); took > 3*time.Second {
+					t.Errorf("a job of a second is completed %v after the office was given up", took)
+				}
+				if s.holder() == leaving {
+					t.Errorf("%s holds the office again", leaving.name)
+				}
+			})
+		})
+	}
+}
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -48,8 +48,9 @@
 	cancel context.CancelFunc
 	intake *intake.Intake
 	runner *runner.Runner
-	// replica is an entry's.
-	replica *jobstore.Replica
+	// replica and dispatcher are an entry's.
+	replica    *jobstore.Replica
+	dispatcher *dispatch.Dispatcher
 }
 
 // system is the real entries and agents on an in-memory network, log and workers.
@@ -136,6 +137,7 @@
 		dispatch.Settings{Holder: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: dispatch.DefaultTiming(lease)},
 		dispatch.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Client: client, Logger: logger},
 	)
+	p.dispatcher = dispatcher
 	r := httprouter.New()
 	r.HandlerFunc(http.MethodPost, assignment.Path, dispatcher.ServePoll)
 	r.HandlerFunc(http.MethodGet, assignment.OfficePath, dispatcher.ServeOffice)
