Appends that get no answer are sent again beside the first try, after a time learnt from earlier answers

Cause: a store that is slow by 70 answers an append in 0.6 to 0.8 s, because appends also wait for one another. A lost answer cost 0.9 s at the dispatcher and 0.35 s at an entry in any case. Change: package hedge. The dispatcher and the keeper of callers' records share it, and what the process has learnt. The proof of the office counts from the first try, because which one was carried out is not known. Conclusion: it helps where answers are lost; while the store is slow the appends still wait for one another.

--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -16,6 +16,7 @@
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
+	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/platform"
@@ -86,7 +87,8 @@
 	jobs := store.Topic(platform.JobsTopic)
 	e.replica = jobstore.NewReplica(jobs, t.Log)
 	e.catalog = catalog.NewFollower(store.Topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
-	e.keeper = jobstore.NewKeeper(jobs, e.replica, e.directory.Entries, s.InnerAddress(innerPlace), client, t.Log)
+	latency := hedge.NewLatency()
+	e.keeper = jobstore.NewKeeper(jobs, latency, e.replica, e.directory.Entries, s.InnerAddress(innerPlace), client, t.Log)
 	e.intake = intake.New(intake.Settings{KeyProof: s.Revoke()}, intake.Parts{
 		Keeper: e.keeper, Replica: e.replica, Catalog: e.catalog, Logger: t.Log,
 	})
@@ -94,7 +96,10 @@
 	timing.Forget = s.Status() + time.Minute
 	e.dispatcher = dispatch.New(
 		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: s.InnerAddress(innerPlace), Timing: timing},
-		dispatch.Parts{Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Adviser: platform.NewAdvice(s, client), Client: client, Logger: t.Log},
+		dispatch.Parts{
+			Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Adviser: platform.NewAdvice(s, client),
+			Latency: latency, Client: client, Logger: t.Log,
+		},
 	)
 	return e
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -34,6 +34,7 @@
 
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 )
@@ -95,6 +96,8 @@
 	Directory jobstore.Log
 	// Adviser may be nil where no queue needs advice.
 	Adviser Adviser
+	// Latency is that of the log's appends, as all of this process learn it.
+	Latency *hedge.Latency
 	// Client calls other entries.
 	Client *http.Client
 	Logger zerolog.Logger
@@ -219,7 +222,7 @@
 	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	condition := jobstore.Condition{At: next, Exact: true, Producer: jobstore.TermOf(term, 0)}
 	offset, err := d.parts.Log.Append(ctx, []jobstore.Record{record}, condition)
@@ -228,21 +231,14 @@
 
 // Times of an append. A second try with the same number is harmless.
 const (
-	appendTimeout = 900 * time.Millisecond
-	shortAppend   = 400 * time.Millisecond
-	appendPause   = 60 * time.Millisecond
+	// claimTimeout bounds a claim, appendLimit one try of an append.
+	claimTimeout = 900 * time.Millisecond
+	appendLimit  = 3 * time.Second
+	appendPause  = 60 * time.Millisecond
 	// slowAppend is from when on an append's time is logged.
-	slowAppend = 100 * time.Millisecond
+	slowAppend = 250 * time.Millisecond
 )
 
-// writeTimeout bounds a try of an append: after failures most are short, so that a log that is back is noticed soon.
-func writeTimeout(try int) time.Duration {
-	if try%3 == 0 {
-		return appendTimeout
-	}
-	return shortAppend
-}
-
 // errSucceeded says that another entry holds a later term.
 var errSucceeded = errors.New("a later term has begun")
 
@@ -266,37 +262,45 @@
 	t.sequence++
 	condition := jobstore.Condition{Producer: jobstore.TermOf(t.office.Term, t.sequence)}
 	began := time.Now()
-	for try := 0; ; try++ {
-		sent := time.Now()
-		attempt, cancel := context.WithTimeout(ctx, writeTimeout(try))
-		offset, err := t.parts.Log.Append(attempt, records, condition)
-		cancel()
-		switch {
-		case err == nil:
-			if took := time.Since(sent); try > 0 || took > slowAppend {
-				t.parts.Logger.Info().Str("step", "dispatch.write").Int64("term", t.office.Term).Int("tries", try+1).
-					Dur("took_ms", time.Since(began)).Dur("answered_in_ms", took).Int("records", len(records)).Msg("append took long")
-			}
-			t.written = sent
-			t.desk.prove(sent)
-			t.parts.Replica.Note(records, offset)
-			return nil
-		case errors.Is(err, jobstore.ErrFenced):
-			return errSucceeded
-		case ctx.Err() != nil:
-			return ctx.Err()
-		}
-		if office, _, _ := t.parts.Replica.Office(); office.Term > t.office.Term {
-			return errSucceeded
-		}
-		if try == 0 {
-			t.parts.Logger.Warn().Str("step", "dispatch.write").Int64("term", t.office.Term).Err(err).Msg("append without an answer; sent again")
-		}
-		select {
-		case <-time.After(appendPause):
-		case <-ctx.Done():
-		}
+	calls := hedge.Calls[int64]{
+		Way:   func(ctx context.Context, try int) (int64, error) { return t.append(ctx, try, records, condition) },
+		After: t.parts.Latency.Patience,
+		Pause: appendPause,
+		Limit: appendLimit,
+		Final: func(err error) bool { return errors.Is(err, jobstore.ErrFenced) || errors.Is(err, errSucceeded) },
+	}
+	offset, err := calls.Do(ctx)
+	switch {
+	case errors.Is(err, jobstore.ErrFenced):
+		return errSucceeded
+	case err != nil:
+		return err
+	}
+	if took := time.Since(began); took > slowAppend {
+		t.parts.Logger.Info().Str("step", "dispatch.write").Int64("term", t.office.Term).Int64("offset", offset).
+			Int("records", len(records)).Dur("took_ms", took).Msg("append took long")
+	}
+	// Which of the tries was carried out is not known, only that it was after the first one was sent.
+	t.written = began
+	t.desk.prove(began)
+	t.parts.Replica.Note(records, offset)
+	return nil
+}
+
+// append makes one try.
+func (t *term) append(ctx context.Context, try int, records []jobstore.Record, c jobstore.Condition) (int64, error) {
+	if office, _, _ := t.parts.Replica.Office(); office.Term > t.office.Term {
+		return 0, errSucceeded
+	}
+	if try == 1 {
+		t.parts.Logger.Warn().Str("step", "dispatch.write").Int64("term", t.office.Term).Msg("append without an answer; sent again")
+	}
+	sent := time.Now()
+	offset, err := t.parts.Log.Append(ctx, records, c)
+	if err == nil {
+		t.parts.Latency.Note(time.Since(sent))
 	}
+	return offset, err
 }
 
 // renew shows that the holder lives.
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -11,6 +11,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
 
+	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/jobstore"
@@ -175,7 +176,7 @@
 	for _, name := range peers() {
 		r := jobstore.NewReplica(log.Client(name), zerolog.Nop())
 		go r.Run(ctx)
-		k := jobstore.NewKeeper(log.Client(name), r, peers, name, network.Client("http://"+name), zerolog.Nop())
+		k := jobstore.NewKeeper(log.Client(name), hedge.NewLatency(), r, peers, name, network.Client("http://"+name), zerolog.Nop())
 		router := httprouter.New()
 		router.HandlerFunc(http.MethodPost, jobstore.KeepPath, k.ServeKeep)
 		network.Attach("http://"+name, router)
--- a/jobstore/keeper.go
+++ b/jobstore/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"yarrowgrade.example/yarrowgrade/fault"
+	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 )
 
@@ -20,14 +21,12 @@
 
 // Times of keeping a record.
 const (
-	// keepTimeout bounds one try.
-	keepTimeout = 700 * time.Millisecond
-	// hedgeAfter is how long a try may take before the next entry is asked beside it. The same record twice is harmless.
-	hedgeAfter = 350 * time.Millisecond
-	keepPause  = 150 * time.Millisecond
-	// askTimeout bounds a question to another entry; one that was not there is not asked again for awayFor.
-	askTimeout = 500 * time.Millisecond
-	awayFor    = 5 * time.Second
+	// keepLimit bounds one try. The next way is tried beside it as soon as the log's answers usually come: the same record
+	// twice is harmless.
+	keepLimit = 2 * time.Second
+	keepPause = 150 * time.Millisecond
+	// awayFor is how long an entry that was not there is not asked again.
+	awayFor = 5 * time.Second
 	// keepProof is how old the last answer of the log may be so that a record is sent there. A log that has been silent
 	// for longer would leave it uncertain whether the record is kept.
 	keepProof = 1200 * time.Millisecond
@@ -37,6 +36,7 @@
 // such record may be kept twice without harm, so a try without an answer is followed by another one.
 type Keeper struct {
 	log     Log
+	latency *hedge.Latency
 	replica *Replica
 	// peers returns the addresses of all entries; self is this one's.
 	peers  func() []string
@@ -49,9 +49,9 @@
 	unreached map[string]time.Time
 }
 
-// NewKeeper returns a keeper.
-func NewKeeper(log Log, replica *Replica, peers func() []string, self string, client *http.Client, logger zerolog.Logger) *Keeper {
-	return &Keeper{log: log, replica: replica, peers: peers, self: self, client: client, logger: logger, unreached: map[string]time.Time{}}
+// NewKeeper returns a keeper. The latency is that of the log's appends, as all of this process learn it.
+func NewKeeper(log Log, latency *hedge.Latency, replica *Replica, peers func() []string, self string, client *http.Client, logger zerolog.Logger) *Keeper {
+	return &Keeper{log: log, latency: latency, replica: replica, peers: peers, self: self, client: client, logger: logger, unreached: map[string]time.Time{}}
 }
 
 // kept is the answer to KeepPath.
@@ -62,12 +62,6 @@
 // try is one way to keep the record.
 type try func(ctx context.Context) (offset int64, err error)
 
-// outcome is what came of a try.
-type outcome struct {
-	offset int64
-	err    error
-}
-
 // Keep keeps a record. An error for which NotDone holds says that it is not kept and never will be; after any other one it
 // may be, or may still come to be.
 func (k *Keeper) Keep(ctx context.Context, record Record) error {
@@ -93,9 +87,7 @@
 func (k *Keeper) tries(record Record) []try {
 	var tries []try
 	if k.reachesLog() {
-		tries = append(tries, func(ctx context.Context) (int64, error) {
-			return k.log.Append(ctx, []Record{record}, Condition{})
-		})
+		tries = append(tries, func(ctx context.Context) (int64, error) { return k.append(ctx, record) })
 	}
 	for _, address := range k.peers() {
 		if address != k.self && !k.isAway(address) {
@@ -117,56 +109,42 @@
 	return !proof.IsZero() && time.Since(proof) < keepProof
 }
 
+// append keeps a record by this entry's own way.
+func (k *Keeper) append(ctx context.Context, record Record) (int64, error) {
+	sent := time.Now()
+	offset, err := k.log.Append(ctx, []Record{record}, Condition{})
+	if err == nil {
+		k.latency.Note(time.Since(sent))
+	}
+	return offset, err
+}
+
 // round tries the ways one after the other, the next one as soon as one has failed or takes long, until one succeeds.
 func (k *Keeper) round(ctx context.Context, tries []try) (int64, error) {
 	if len(tries) == 0 {
 		return 0, fmt.Errorf("%w: no way to the log", ErrRefused)
 	}
-	ctx, cancel := context.WithTimeout(ctx, keepTimeout+time.Duration(len(tries))*hedgeAfter)
-	defer cancel()
-	results := make(chan outcome, len(tries))
-	started, open := 0, 0
-	begin := func() {
-		if started == len(tries) {
-			return
-		}
-		way := tries[started]
-		started++
-		open++
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, keepTimeout)
-			defer cancel()
-			offset, err := way(ctx)
-			results <- outcome{offset: offset, err: err}
-		}()
+	calls := hedge.Calls[int64]{
+		Way:   func(ctx context.Context, n int) (int64, error) { return tries[n](ctx) },
+		After: k.latency.Patience,
+		Limit: keepLimit,
+		Tries: len(tries),
+		Worse: moreDoubtful,
 	}
-	var failed error
-	for begin(); open > 0; {
-		timer := time.NewTimer(hedgeAfter)
-		select {
-		case r := <-results:
-			open--
-			if r.err == nil {
-				timer.Stop()
-				return r.offset, nil
-			}
-			if failed == nil || NotDone(failed) {
-				failed = r.err
-			}
-			begin()
-		case <-timer.C:
-			begin()
-		}
-		timer.Stop()
+	return calls.Do(ctx)
+}
+
+// moreDoubtful is the one of two errors after which more is uncertain.
+func moreDoubtful(earlier, later error) error {
+	if NotDone(earlier) {
+		return later
 	}
-	return 0, failed
+	return earlier
 }
 
 // ask has another entry keep the record.
 func (k *Keeper) ask(ctx context.Context, address string, record Record) (int64, error) {
 	var answer kept
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	err := jsonhttp.Call(ctx, k.client, "jobstore.ask", http.MethodPost, "http://"+address, KeepPath, record, &answer)
 	if fault.NotReached(err) {
 		k.mu.Lock()
@@ -196,9 +174,9 @@
 		jsonhttp.WriteError(w, ErrRefused)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), keepTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), keepLimit)
 	defer cancel()
-	offset, err := k.log.Append(ctx, []Record{record}, Condition{})
+	offset, err := k.append(ctx, record)
 	if err != nil {
 		code := http.StatusGatewayTimeout
 		if NotDone(err) {
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -18,6 +18,7 @@
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
+	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/job"
@@ -131,11 +132,12 @@
 	p.replica = replica
 	follower := catalog.NewFollower(s.config.Client(p.name), "config", decodeCatalog, logger)
 	directory := jobstore.NewDirectory(announced, zerolog.Nop())
-	keeper := jobstore.NewKeeper(log, replica, directory.Entries, p.name, client, logger)
+	latency := hedge.NewLatency()
+	keeper := jobstore.NewKeeper(log, latency, replica, directory.Entries, p.name, client, logger)
 	p.intake = intake.New(intake.Settings{KeyProof: 5 * time.Second}, intake.Parts{Keeper: keeper, Replica: replica, Catalog: follower, Logger: logger})
 	dispatcher := dispatch.New(
 		dispatch.Settings{Holder: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: dispatch.DefaultTiming(lease)},
-		dispatch.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Client: client, Logger: logger},
+		dispatch.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Latency: latency, Client: client, Logger: logger},
 	)
 	p.dispatcher = dispatcher
 	r := httprouter.New()
