--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -58,8 +58,13 @@
 	Number int64      `json:"n"`
 	How    job.Ending `json:"h"`
 	Saved  string     `json:"s,omitempty"`
+	// TookMillis is how long the run was there, as the agent saw it; zero if it did not see the start.
+	TookMillis int64 `json:"took_ms,omitempty"`
 }
 
+// Took is TookMillis as a duration.
+func (e End) Took() time.Duration { return time.Duration(e.TookMillis) * time.Millisecond }
+
 // Refusal is a run that the worker did not start and never will.
 type Refusal struct {
 	RunID
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -20,6 +20,8 @@
 	dirty bool
 	// stopping holds the runs that were told to stop.
 	stopping map[job.TaskName]int
+	// took is how long a task of a step was seen to take.
+	took map[int]time.Duration
 }
 
 // worker is a worker as the control goroutine knows it.
@@ -39,6 +41,34 @@
 	trust  trust
 }
 
+func newTracked(j *job.Job) *tracked {
+	return &tracked{
+		job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}, took: map[int]time.Duration{},
+	}
+}
+
+// length predicts how long a task of a step works.
+func (c *control) length(t *tracked, step int) time.Duration {
+	if took, ok := t.took[step]; ok {
+		return took
+	}
+	return c.forecast.of(t.job.Queue, t.job.Steps[step].Estimate)
+}
+
+// noteLength takes note of how long a run took that has ended done, unless it went on from a checkpoint.
+func (c *control) noteLength(e assignment.End) {
+	t := c.jobs[e.Task.Job]
+	if t == nil || e.How != job.EndDone || e.Took() <= 0 {
+		return
+	}
+	task := t.progress.Task(e.Task)
+	if _, known := t.took[e.Task.Step]; known || task == nil || task.Run != e.Run || task.Saved != "" {
+		return
+	}
+	t.took[e.Task.Step] = e.Took()
+	c.forecast.note(t.job.Queue, t.job.Steps[e.Task.Step].Estimate, e.Took())
+}
+
 // observed is what is known of a run that a worker has reported.
 type observed struct {
 	percent  int
@@ -57,6 +87,8 @@
 	jobs    map[job.ID]*tracked
 	workers map[string]*worker
 	advice  *advice
+	// forecast predicts how long tasks work.
+	forecast *forecast
 	// next is when the next pass is due by itself.
 	next time.Time
 }
@@ -64,8 +96,8 @@
 func newControl(timing Timing, parts Parts) *control {
 	return &control{
 		timing: timing, logger: parts.Logger, catalog: parts.Catalog, replica: parts.Replica, took: time.Now(),
-		advice: newAdvice(parts.Adviser, parts.Logger),
-		jobs:   map[job.ID]*tracked{}, workers: map[string]*worker{},
+		advice: newAdvice(parts.Adviser, parts.Logger), forecast: newForecast(),
+		jobs: map[job.ID]*tracked{}, workers: map[string]*worker{},
 	}
 }
 
@@ -102,7 +134,7 @@
 		c.logger.Error().Str("step", "dispatch.open").Str("job", string(v.ID)).Err(err).Msg("job is unreadable")
 		return nil
 	}
-	t := &tracked{job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}}
+	t := newTracked(j)
 	if v.Progress != nil {
 		if t.progress, err = job.DecodeProgress(v.Progress); err != nil {
 			c.logger.Error().Str("step", "dispatch.open").Str("job", string(v.ID)).Err(err).Msg("progress is unreadable")
@@ -170,6 +202,7 @@
 	c.reportRuns(now, w, poll)
 	for _, e := range poll.Ends {
 		if e.Number > w.ends {
+			c.noteLength(e)
 			c.end(w, e.RunID, e.How, e.Saved)
 			w.ends = e.Number
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -43,6 +43,8 @@
 	unit    job.Unit
 	step    job.Step
 	due     time.Time
+	// length is how long a task is expected to work.
+	length time.Duration
 	// assured says that the team's guarantee covers the job; hopeless that it earns nothing any more.
 	assured  bool
 	hopeless bool
@@ -125,7 +127,7 @@
 // estimate guesses when a run ends and what a stop would lose.
 func (p *plan) estimate(r *running, step job.Step) {
 	o, known := r.node.worker.runs[runID(r)]
-	left := step.Estimate
+	left := p.c.length(r.tracked, r.name.Step)
 	worked := time.Duration(0)
 	if known && o.percent > 0 {
 		worked = p.now.Sub(o.since)
@@ -137,7 +139,7 @@
 		lost += worked
 	}
 	// What has been stopped before costs more each time, or it would be stopped again and again.
-	lost += time.Duration(repeatCost * float64(r.run-1) * float64(step.Estimate))
+	lost += time.Duration(repeatCost * float64(r.run-1) * float64(p.c.length(r.tracked, r.name.Step)))
 	r.loss = lost.Seconds() * weight(step.Need)
 }
 
@@ -194,11 +196,16 @@
 			continue
 		}
 		p.noteNextRound(t)
-		for _, u := range t.job.Waiting(t.progress, p.now, 0) {
-			due := t.job.Objective(u.Round)
+		units := t.job.Waiting(t.progress, p.now, 0)
+		if len(units) == 0 {
+			continue
+		}
+		chain := t.job.Chain(func(step int) time.Duration { return p.c.length(t, step) })
+		for _, u := range units {
+			due := t.job.Objective(u.Round, chain)
 			late := p.now.Sub(due) > 2*due.Sub(t.job.Accepted)
 			all = append(all, waiting{
-				tracked: t, unit: u, step: t.job.Steps[u.Step], due: due, assured: p.assured[id],
+				tracked: t, unit: u, step: t.job.Steps[u.Step], due: due, length: p.c.length(t, u.Step), assured: p.assured[id],
 				hopeless: late && t.job.Times == 0 && !t.job.Lasting(),
 			})
 		}
@@ -293,13 +300,15 @@
 		w.tracked.progress.Assign(name, run, n.name, n.life.ID)
 		n.free = n.free.Plus(w.step.Reserved(), -1)
 		n.later = n.later.Plus(w.step.Reserved(), -1)
-		r := &running{tracked: w.tracked, name: name, run: run, node: n, need: w.step.Reserved(), ends: p.now.Add(w.step.Estimate)}
+		r := &running{tracked: w.tracked, name: name, run: run, node: n, need: w.step.Reserved(), ends: p.now.Add(w.length)}
 		n.runs = append(n.runs, r)
 		if n.trust.doubted() {
 			n.usable = false
 		}
 		p.c.logger.Info().Str("step", "dispatch.start").Stringer("task", name).Int("run", run).Str("worker", n.name).
-			Str("life", n.life.ID).Int("priority", w.tracked.job.Priority).Bool("assured", w.assured).Msg("run is placed")
+			Str("life", n.life.ID).Int("priority", w.tracked.job.Priority).Bool("assured", w.assured).Dur("estimate_ms", w.step.Estimate).
+			Dur("forecast_ms", w.length).
+			Time("due", w.due).Msg("run is placed")
 	}
 	w.tracked.dirty = true
 }
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -71,13 +71,10 @@
 		s.Estimate = 5 * time.Second
 	}
 	id := job.ID(fmt.Sprintf("%016x", b.number))
-	t := &tracked{
-		job: &job.Job{
-			ID: id, Service: service, Priority: priority, Team: team, Attempts: 3, Stretch: 3, Aim: time.Second,
-			Accepted: b.now.Add(time.Duration(b.number) * time.Millisecond), Steps: []job.Step{s},
-		},
-		progress: job.NewProgress(), stopping: map[job.TaskName]int{},
-	}
+	t := newTracked(&job.Job{
+		ID: id, Service: service, Priority: priority, Team: team, Attempts: 3, Stretch: 3, Aim: time.Second,
+		Accepted: b.now.Add(time.Duration(b.number) * time.Millisecond), Steps: []job.Step{s},
+	})
 	b.control.jobs[id] = t
 	return t
 }
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -18,7 +18,7 @@
 	tasks                    int
 	gang, sameRack           bool
 	fills, target            bool
-	estimate                 time.Duration
+	length                   time.Duration
 	// job is set where the outcome depends on what else of the job runs, or on what was said of it.
 	job job.ID
 }
@@ -28,7 +28,7 @@
 	s := search{
 		service: w.tracked.job.Service, label: w.step.Label, dataRack: w.step.DataRack, need: w.step.Reserved(),
 		tasks: len(w.unit.Tasks), gang: w.step.Gang, sameRack: w.step.SameRack, fills: w.step.Fills, target: w.step.Target > 0,
-		estimate: w.step.Estimate,
+		length: w.length,
 	}
 	if w.step.PerWorker > 0 || w.tracked.job.Advised || w.step.DataRack != "" {
 		s.job = w.tracked.job.ID
@@ -176,7 +176,7 @@
 
 // mayUse reports whether the unit may use a node that is held back for a gang: only if it ends in time.
 func (p *plan) mayUse(w waiting, n *node) bool {
-	return n.heldUntil.IsZero() || !p.now.Add(w.step.Estimate).After(n.heldUntil)
+	return n.heldUntil.IsZero() || !p.now.Add(w.length).After(n.heldUntil)
 }
 
 // hasTicket reports whether the unit has a ticket for the node, or needs none.
--- a/job/job.go
+++ b/job/job.go
@@ -191,27 +191,30 @@
 	return j.First.Add(time.Duration(k) * j.Every)
 }
 
-// Chain is the longest chain of estimated work.
-func (j *Job) Chain() time.Duration {
+// Chain is the longest chain of work, with the time that length gives for a task of each step.
+func (j *Job) Chain(length func(step int) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	longest := time.Duration(0)
 	for i, s := range j.Steps {
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		ends[i] += s.Estimate
+		ends[i] += length(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
-// Objective is when round k is to be completed.
-func (j *Job) Objective(k int) time.Time {
+// Estimate is the caller's guess of the time that a task of a step takes.
+func (j *Job) Estimate(step int) time.Duration { return j.Steps[step].Estimate }
+
+// Objective is when round k is to be completed if its longest chain of work is that long.
+func (j *Job) Objective(k int, chain time.Duration) time.Time {
 	from := j.Accepted
 	if j.Times > 0 {
 		from = j.DueAt(k)
 	}
-	return from.Add(time.Duration(j.Stretch*float64(j.Chain())) + j.Aim)
+	return from.Add(time.Duration(j.Stretch*float64(chain)) + j.Aim)
 }
 
 // Lasting reports whether a step of the job lasts until it is cancelled.
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -217,11 +217,11 @@
 	j := &Job{ID: id, Accepted: accepted, Stretch: 2, Aim: time.Second, Steps: []Step{
 		{Tasks: 1, Estimate: 3 * time.Second}, {Tasks: 1, Estimate: 5 * time.Second}, {Tasks: 1, Estimate: time.Second, After: []int{0, 1}},
 	}}
-	if got, want := j.Objective(0), accepted.Add(13*time.Second); !got.Equal(want) {
+	if got, want := j.Objective(0, j.Chain(j.Estimate)), accepted.Add(13*time.Second); !got.Equal(want) {
 		t.Errorf("got %v, want %v", got, want)
 	}
 	j.Times, j.First, j.Every = 3, accepted.Add(time.Minute), 10*time.Second
-	if got, want := j.Objective(2), accepted.Add(80*time.Second+13*time.Second); !got.Equal(want) {
+	if got, want := j.Objective(2, j.Chain(j.Estimate)), accepted.Add(80*time.Second+13*time.Second); !got.Equal(want) {
 		t.Errorf("round 2: got %v, want %v", got, want)
 	}
 }
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -104,7 +104,7 @@
 		}
 		k := r.runs[run.RunID]
 		if k == nil {
-			k = &known{started: time.Now()}
+			k = &known{}
 			r.runs[run.RunID] = k
 			news = true
 		}
@@ -115,6 +115,9 @@
 			continue
 		}
 		if _, ok := r.ends[e.Number]; !ok {
+			if k := r.runs[e.RunID]; k != nil && !k.began.IsZero() {
+				e.TookMillis = time.Since(k.began).Milliseconds()
+			}
 			r.ends[e.Number] = e
 			news = true
 			r.parts.Logger.Info().Str("step", "runner.list").Stringer("task", e.Task).Int("run", e.Run).Str("how", string(e.How)).
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -24,7 +24,7 @@
 		r.refuse(s.RunID, "the worker leaves")
 		return
 	}
-	r.runs[s.RunID] = &known{phase: starting, percent: -1, started: time.Now()}
+	r.runs[s.RunID] = &known{phase: starting, percent: -1}
 	generation := r.generation
 	r.work.Go(func() { r.start(ctx, s, generation) })
 }
@@ -70,7 +70,7 @@
 	r.parts.Logger.Info().Str("step", "runner.start").Stringer("task", s.Task).Int("run", s.Run).Err(err).Msg("start ordered")
 	switch {
 	case err == nil:
-		k.phase, k.percent = there, 0
+		k.phase, k.percent, k.began = there, 0, time.Now()
 		return true
 	case errors.Is(err, ErrOtherLife):
 		r.endLife("the worker is in another life")
@@ -122,7 +122,7 @@
 	}
 	k := r.runs[id]
 	if k == nil {
-		k = &known{phase: starting, percent: -1, started: time.Now()}
+		k = &known{phase: starting, percent: -1}
 		r.runs[id] = k
 	}
 	if k.stopping {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -69,7 +69,8 @@
 	saved   string
 	// stopping says that a stop is under way.
 	stopping bool
-	started  time.Time
+	// began is when the worker said that it had started the run; zero if this agent did not order that.
+	began time.Time
 }
 
 // refusal is a run that will never start here. It is told until a poll later than the one numbered told has been heard.
