Runs' ages come from the agents, so that what a stop would throw away is known from the first report

Cause: the dispatcher counted a run's work from the first report it saw, up to a second late, and took a resumed run's whole percentage for work since then. Change: polls say how old a run is; the time left goes by the progress since the first report; stops log what they throw away.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -50,8 +50,13 @@
 	Percent int `json:"p"`
 	// Saved is the newest checkpoint.
 	Saved string `json:"s,omitempty"`
+	// AgeMillis is for how long the run has been there; zero if the agent did not see the start.
+	AgeMillis int64 `json:"age_ms,omitempty"`
 }
 
+// Age is AgeMillis as a duration.
+func (r Run) Age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
+
 // End is an end that a worker has listed. Numbers rise from 1 within a life.
 type End struct {
 	RunID
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -71,9 +71,32 @@
 
 // observed is what is known of a run that a worker has reported.
 type observed struct {
-	percent  int
+	percent int
+	// since is when the run began, as far as is known; advanced when the percentage last rose.
 	since    time.Time
 	advanced time.Time
+	// base is the percentage that was first reported, at the time baseAt: a run may go on from a checkpoint.
+	base   int
+	baseAt time.Time
+}
+
+// firstSeen is the first report of a run.
+func firstSeen(now time.Time, r assignment.Run) observed {
+	o := observed{percent: -1, since: now, advanced: now, base: max(r.Percent, 0), baseAt: now}
+	if r.AgeMillis > 0 {
+		o.since = now.Add(-r.Age())
+	}
+	return o
+}
+
+// left is how long the run still works if it goes on as it has since the first report; false as long as that says nothing.
+func (o observed) left(now time.Time) (time.Duration, bool) {
+	done := o.percent - o.base
+	if done <= 0 {
+		return 0, false
+	}
+	left := o.advanced.Sub(o.baseAt) * time.Duration(100-o.percent) / time.Duration(done)
+	return max(left-now.Sub(o.advanced), 0), true
 }
 
 // control is the state of a holder of the office. One goroutine owns it.
@@ -234,7 +257,7 @@
 	for _, r := range poll.Runs {
 		o, known := w.runs[r.RunID]
 		if !known {
-			o = observed{percent: -1, since: now, advanced: now}
+			o = firstSeen(now, r)
 		}
 		if r.Percent > o.percent {
 			o.percent, o.advanced = r.Percent, now
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -33,8 +33,10 @@
 	need     job.Need
 	stopping bool
 	ends     time.Time
-	// loss is the work that a stop would throw away, in core-seconds (an accelerator counts as 8 cores).
-	loss float64
+	// thrown is the work that a stop would throw away, in core-seconds (an accelerator counts as 8 cores); loss is what a
+	// stop costs in all.
+	thrown float64
+	loss   float64
 }
 
 // waiting is a unit that may start now.
@@ -126,20 +128,23 @@
 
 // estimate guesses when a run ends and what a stop would lose.
 func (p *plan) estimate(r *running, step job.Step) {
-	o, known := r.node.worker.runs[runID(r)]
-	left := p.c.length(r.tracked, r.name.Step)
-	worked := time.Duration(0)
-	if known && o.percent > 0 {
+	length := p.c.length(r.tracked, r.name.Step)
+	worked, left := time.Duration(0), length
+	if o, known := r.node.worker.runs[runID(r)]; known {
 		worked = p.now.Sub(o.since)
-		left = worked * time.Duration(100-o.percent) / time.Duration(o.percent)
+		left = max(length-worked, length/10)
+		if l, ok := o.left(p.now); ok {
+			left = l
+		}
 	}
 	r.ends = p.now.Add(left)
 	lost := restartCost
 	if !step.Checkpoint {
 		lost += worked
+		r.thrown = worked.Seconds() * weight(step.Need)
 	}
 	// What has been stopped before costs more each time, or it would be stopped again and again.
-	lost += time.Duration(repeatCost * float64(r.run-1) * float64(p.c.length(r.tracked, r.name.Step)))
+	lost += time.Duration(repeatCost * float64(r.run-1) * float64(length))
 	r.loss = lost.Seconds() * weight(step.Need)
 }
 
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -92,7 +92,7 @@
 func (b *bench) observe(t *tracked, began time.Time, percent int) {
 	t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
 		id := assignment.RunID{Task: name, Run: task.Run}
-		b.control.workers[task.Worker].runs[id] = observed{percent: percent, since: began, advanced: b.now}
+		b.control.workers[task.Worker].runs[id] = observed{percent: percent, since: began, advanced: b.now, baseAt: began}
 	})
 }
 
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -77,7 +77,7 @@
 	r.tracked.stopping[r.name] = r.run
 	r.node.later = r.node.later.Plus(r.need, 1)
 	p.c.logger.Info().Str("step", "dispatch.stop").Stringer("task", r.name).Int("run", r.run).Str("worker", r.node.name).
-		Float64("loss_core_s", r.loss).Str("why", why).Msg("run is to stop")
+		Float64("thrown_core_s", r.thrown).Str("why", why).Msg("run is to stop")
 }
 
 // yields reports whether a run may be stopped for the unit, and in which order: the higher the sooner.
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -115,8 +115,8 @@
 			continue
 		}
 		if _, ok := r.ends[e.Number]; !ok {
-			if k := r.runs[e.RunID]; k != nil && !k.began.IsZero() {
-				e.TookMillis = time.Since(k.began).Milliseconds()
+			if k := r.runs[e.RunID]; k != nil {
+				e.TookMillis = k.age().Milliseconds()
 			}
 			r.ends[e.Number] = e
 			news = true
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -73,6 +73,14 @@
 	began time.Time
 }
 
+// age is for how long the run has been there, zero if that is not known.
+func (k *known) age() time.Duration {
+	if k.began.IsZero() {
+		return 0
+	}
+	return time.Since(k.began)
+}
+
 // refusal is a run that will never start here. It is told until a poll later than the one numbered told has been heard.
 type refusal struct {
 	reason string
@@ -245,7 +253,7 @@
 		return p, r.generation
 	}
 	for id, k := range r.runs {
-		p.Runs = append(p.Runs, assignment.Run{RunID: id, Percent: k.percent, Saved: k.saved})
+		p.Runs = append(p.Runs, assignment.Run{RunID: id, Percent: k.percent, Saved: k.saved, AgeMillis: k.age().Milliseconds()})
 	}
 	for _, n := range slices.Sorted(maps.Keys(r.ends)) {
 		p.Ends = append(p.Ends, r.ends[n])
