Why a job waits is logged when it changes

Cause: a trace of an urgent job that started 4.8 s late did not say why. Change: one line for each change of the reason.

--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -22,6 +22,8 @@
 	stopping map[job.TaskName]int
 	// took is how long a task of a step was seen to take.
 	took map[int]time.Duration
+	// waits is why it was last logged to wait.
+	waits string
 }
 
 // worker is a worker as the control goroutine knows it.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -278,6 +278,7 @@
 // place starts a unit, or makes room for it, or holds room back for it.
 func (p *plan) place(w waiting) {
 	if !p.seekAdvice(w) {
+		p.noteWait(w, "no ticket yet")
 		return
 	}
 	key := searchOf(w)
@@ -289,12 +290,25 @@
 		p.vain[key] = true
 	}
 	if w.tracked.job.Priority == 0 {
-		p.preempt(w)
+		p.noteWait(w, p.preempt(w))
 		return
 	}
 	if w.step.Gang && p.held < reservations && !w.hopeless {
 		p.holdBack(w)
+		p.noteWait(w, "room is held back for it")
+		return
+	}
+	p.noteWait(w, "no room")
+}
+
+// noteWait logs why a unit of a job waits, when that is not what was logged of the job last.
+func (p *plan) noteWait(w waiting, why string) {
+	if w.tracked.waits == why {
+		return
 	}
+	w.tracked.waits = why
+	p.c.logger.Info().Str("step", "dispatch.wait").Stringer("task", w.unit.Tasks[0]).Int("tasks", len(w.unit.Tasks)).
+		Int("priority", w.tracked.job.Priority).Bool("assured", w.assured).Time("due", w.due).Str("why", why).Msg("job waits")
 }
 
 // start notes a new run of the unit.
@@ -315,7 +329,7 @@
 			Dur("forecast_ms", w.length).
 			Time("due", w.due).Msg("run is placed")
 	}
-	w.tracked.dirty = true
+	w.tracked.dirty, w.tracked.waits = true, ""
 }
 
 // holdBack keeps the rack, or the nodes, that would be free first for the unit.
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -12,34 +12,41 @@
 func runID(r *running) assignment.RunID { return assignment.RunID{Task: r.name, Run: r.run} }
 
 // preempt makes room for a unit of priority 0: it stops work that yields, in the domain in which that costs the least, and
-// keeps what is free there for the unit. If room comes by itself early enough, it stops nothing.
-func (p *plan) preempt(w waiting) {
+// keeps what is free there for the unit. If room comes by itself early enough, it stops nothing. It returns what the unit
+// waits for.
+func (p *plan) preempt(w waiting) string {
 	if at := p.find(w, true); at != nil {
 		p.keep(w, at)
-		return
+		return "what was told to stop still ends"
 	}
 	if p.comesInTime(w) {
 		p.holdBack(w)
-		return
-	}
-	var best []*running
-	var bestDomain []*node
-	bestLoss := 0.0
-	for _, domain := range p.domains(w) {
-		victims, loss, ok := p.victims(w, domain)
-		if ok && (bestDomain == nil || loss < bestLoss) {
-			best, bestDomain, bestLoss = victims, domain, loss
-		}
+		return "room comes in time by itself"
 	}
-	if bestDomain == nil {
-		return
+	best, domain := p.cheapest(w)
+	if domain == nil {
+		return "no room, and nothing yields"
 	}
 	for _, r := range best {
 		p.stop(r, "it yields to "+w.unit.Tasks[0].String())
 	}
-	if at := p.findIn(w, bestDomain, true); at != nil {
+	if at := p.findIn(w, domain, true); at != nil {
 		p.keep(w, at)
 	}
+	return "what was told to stop still ends"
+}
+
+// cheapest returns the runs to stop for a unit in the domain in which that costs the least; the domain is nil if nothing
+// that may be stopped makes enough room.
+func (p *plan) cheapest(w waiting) (victims []*running, domain []*node) {
+	least := 0.0
+	for _, d := range p.domains(w) {
+		runs, loss, ok := p.victims(w, d)
+		if ok && (domain == nil || loss < least) {
+			victims, domain, least = runs, d, loss
+		}
+	}
+	return victims, domain
 }
 
 // comesInTime reports whether the unit fits somewhere by itself so soon that it still ends in time, and starts early enough
