A worker that fails what it starts gets nothing; a failed task waits for another worker

Change: a failure within 0.2 s of the start puts the worker in doubt at once, and a task is not placed for 3 s where it failed.

--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -22,6 +22,8 @@
 	stopping map[job.TaskName]int
 	// took is how long a task of a step was seen to take.
 	took map[int]time.Duration
+	// failedOn is when a run of the job last failed on a worker.
+	failedOn map[string]time.Time
 	// waits is why it was last logged to wait.
 	waits string
 }
@@ -46,6 +48,7 @@
 func newTracked(j *job.Job) *tracked {
 	return &tracked{
 		job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}, took: map[int]time.Duration{},
+		failedOn: map[string]time.Time{},
 	}
 }
 
@@ -228,12 +231,12 @@
 	for _, e := range poll.Ends {
 		if e.Number > w.ends {
 			c.noteLength(e)
-			c.end(w, e.RunID, e.How, e.Saved)
+			c.end(w, e)
 			w.ends = e.Number
 		}
 	}
 	for _, r := range poll.Refused {
-		if c.end(w, r.RunID, job.EndRefused, "") {
+		if c.end(w, assignment.End{RunID: r.RunID, How: job.EndRefused}) {
 			c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Stringer("task", r.Task).Int("run", r.Run).
 				Str("reason", r.Reason).Msg("start refused")
 			w.trust.refused(now)
@@ -270,12 +273,16 @@
 }
 
 // end takes note of the end of a run on the worker's present life. It returns false if that run is not there.
-func (c *control) end(w *worker, id assignment.RunID, how job.Ending, saved string) bool {
-	t := c.jobs[id.Task.Job]
-	if t == nil || !c.endTask(t, id.Task, id.Run, w.life.ID, how, saved) {
+func (c *control) end(w *worker, e assignment.End) bool {
+	t := c.jobs[e.Task.Job]
+	if t == nil || !c.endTask(t, e.Task, e.Run, w.life.ID, e.How, e.Saved) {
 		return false
 	}
-	w.trust.ended(time.Now(), id.Task.Job, how)
+	now := time.Now()
+	w.trust.ended(now, e.Task.Job, e.How, e.Took())
+	if e.How == job.EndFailed {
+		t.failedOn[w.name] = now
+	}
 	return true
 }
 
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -207,7 +207,7 @@
 	t.Run("what can't take work gets none", func(t *testing.T) {
 		b := newBench(t, 1, 4)
 		b.control.workers["w0-0"].life.Leaving = true
-		b.control.workers["w0-1"].trust.stalled(b.now, "x")
+		b.control.workers["w0-1"].trust.certain(b.now, "x")
 		b.control.workers["w0-2"].silent = true
 		j := b.job(0, "sure", job.Step{Tasks: 4})
 		b.plan(0)
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -295,7 +295,7 @@
 			}
 			if p.now.Sub(o.advanced) > stallAfter(step.Estimate) {
 				p.stop(r, "it stands still")
-				n.trust.stalled(p.now, r.name.Job)
+				n.trust.certain(p.now, r.name.Job)
 			}
 		}
 	}
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -30,7 +30,7 @@
 		tasks: len(w.unit.Tasks), gang: w.step.Gang, sameRack: w.step.SameRack, fills: w.step.Fills, target: w.step.Target > 0,
 		length: w.length,
 	}
-	if w.step.PerWorker > 0 || w.tracked.job.Advised || w.step.DataRack != "" {
+	if w.step.PerWorker > 0 || w.tracked.job.Advised || w.step.DataRack != "" || len(w.tracked.failedOn) > 0 {
 		s.job = w.tracked.job.ID
 	}
 	return s
@@ -146,7 +146,7 @@
 	need := w.step.Reserved()
 	var candidates []*node
 	for _, n := range domain {
-		if n.usable && need.Fits(room(n)) && allowed(w, n) && p.mayUse(w, n) && p.hasTicket(w, n) {
+		if n.usable && need.Fits(room(n)) && allowed(w, n) && p.mayUse(w, n) && p.hasTicket(w, n) && !p.failedThere(w, n) {
 			candidates = append(candidates, n)
 		}
 	}
@@ -179,6 +179,12 @@
 	return n.heldUntil.IsZero() || !p.now.Add(w.length).After(n.heldUntil)
 }
 
+// failedThere reports whether a task of the job failed on the node a short while ago.
+func (p *plan) failedThere(w waiting, n *node) bool {
+	at, ok := w.tracked.failedOn[n.name]
+	return ok && p.now.Sub(at) < avoidFor
+}
+
 // hasTicket reports whether the unit has a ticket for the node, or needs none.
 func (p *plan) hasTicket(w waiting, n *node) bool {
 	if !w.tracked.job.Advised {
--- a/dispatch/trust.go
+++ b/dispatch/trust.go
@@ -13,6 +13,11 @@
 	// firstRest and longestRest bound how long a doubted worker gets nothing; each further failure doubles it.
 	firstRest   = 2 * time.Second
 	longestRest = 8 * time.Second
+	// quickFailure is how soon after its start a run must fail to put the worker in doubt at once. Tasks that fail by their
+	// own fault do so anywhere on their way, which takes seconds; workers that fail all they start do so in 0.05 to 0.15 s.
+	quickFailure = 200 * time.Millisecond
+	// avoidFor is how long a task that failed on a worker is not placed there again.
+	avoidFor = 3 * time.Second
 	// refusalRest is how long a worker that refused a start for lack of room gets nothing.
 	refusalRest = 300 * time.Millisecond
 )
@@ -25,12 +30,14 @@
 	until  time.Time
 }
 
-// ended takes note of the end of a run.
-func (t *trust) ended(now time.Time, id job.ID, how job.Ending) {
-	switch how {
-	case job.EndDone:
+// ended takes note of the end of a run that was there so long; zero is an unknown time.
+func (t *trust) ended(now time.Time, id job.ID, how job.Ending, took time.Duration) {
+	switch {
+	case how == job.EndDone:
 		t.failed, t.rest = nil, 0
-	case job.EndFailed:
+	case how == job.EndFailed && took > 0 && took < quickFailure:
+		t.certain(now, id)
+	case how == job.EndFailed:
 		t.doubt(now, id)
 	}
 }
@@ -54,8 +61,8 @@
 	}
 }
 
-// stalled takes note of a run that stands still on the worker.
-func (t *trust) stalled(now time.Time, id job.ID) {
+// certain takes note of a failure that is surely the worker's: a run that stands still, or that failed as it began.
+func (t *trust) certain(now time.Time, id job.ID) {
 	t.doubt(now, id)
 	t.rest = max(t.rest, firstRest)
 	t.until = now.Add(t.rest)
