Urgent jobs that may be in time come first, and the small ones among them

Change: among jobs of priority 0 without a guarantee, first what may still be in time, then by work. Lengths are forecasts. Test: TestUrgentOrder.

--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -60,6 +60,15 @@
 	return c.forecast.of(t.job.Queue, t.job.Steps[step].Estimate)
 }
 
+// work is what all tasks of a job do, in core-seconds.
+func (c *control) work(t *tracked) float64 {
+	sum := 0.0
+	for i, s := range t.job.Steps {
+		sum += float64(s.Tasks) * c.length(t, i).Seconds() * weight(s.Need)
+	}
+	return sum
+}
+
 // noteLength takes note of how long a run took that has ended done, unless it went on from a checkpoint.
 func (c *control) noteLength(e assignment.End) {
 	t := c.jobs[e.Task.Job]
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -47,9 +47,13 @@
 	due     time.Time
 	// length is how long a task is expected to work.
 	length time.Duration
-	// assured says that the team's guarantee covers the job; hopeless that it earns nothing any more.
+	// assured says that the team's guarantee covers the job; hopeless that it earns nothing any more; late that it can't be
+	// completed in time any more.
 	assured  bool
 	hopeless bool
+	late     bool
+	// work is what all tasks of the job do, in core-seconds.
+	work float64
 }
 
 // plan is one decision: it is made anew in each pass.
@@ -193,7 +197,8 @@
 }
 
 // waiting lists what may start now, in the order in which it is looked at: by priority; the assured first, and what earns
-// nothing any more last; then what is due first.
+// nothing any more last; then what is due first. Among jobs of priority 0 those come first that may still be in time, and of
+// these the small ones: most of them fit in beside a large one, which waits only a little longer for that.
 func (p *plan) waiting() []waiting {
 	var all []waiting
 	for id, t := range p.c.jobs {
@@ -212,6 +217,8 @@
 			all = append(all, waiting{
 				tracked: t, unit: u, step: t.job.Steps[u.Step], due: due, length: p.c.length(t, u.Step), assured: p.assured[id],
 				hopeless: late && t.job.Times == 0 && !t.job.Lasting(),
+				late:     t.job.Priority == 0 && p.now.Add(p.c.length(t, u.Step)).After(due),
+				work:     p.c.work(t),
 			})
 		}
 	}
@@ -220,6 +227,8 @@
 			cmp.Compare(a.tracked.job.Priority, b.tracked.job.Priority),
 			compareBool(b.assured, a.assured),
 			compareBool(a.hopeless, b.hopeless),
+			compareBool(a.late, b.late),
+			compareWork(a, b),
 			a.due.Compare(b.due),
 			cmp.Compare(a.tracked.job.ID, b.tracked.job.ID),
 			cmp.Compare(a.unit.Round, b.unit.Round),
@@ -230,6 +239,14 @@
 	return all
 }
 
+// compareWork puts the smaller of two jobs of priority 0 first.
+func compareWork(a, b waiting) int {
+	if a.tracked.job.Priority != 0 || b.tracked.job.Priority != 0 {
+		return 0
+	}
+	return cmp.Compare(a.work, b.work)
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
