Urgent jobs throw away no more work than they are worth

Cause: an urgent job without a guarantee stopped work of any size, also when it was late anyway. Change: it may throw away four times its own work while it may be in time, and half of it once it is late. On the users' sites a second of urgent work earns three to five times what a second of other work does. Test: TestPreemption/no more work is thrown away.

--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -243,7 +243,75 @@
 	})
 }
 
+// TestUrgentOrder: what may be in time comes before what is late, small jobs before large ones, and a guarantee before all.
+func TestUrgentOrder(t *testing.T) {
+	small := job.Need{CPU: 4000, Memory: 1000, Accelerators: 2}
+	tests := []struct {
+		name          string
+		first, second func(b *bench) *tracked
+	}{
+		{
+			"small before large",
+			func(b *bench) *tracked { return b.job(0, "other", job.Step{Tasks: 1}) },
+			func(b *bench) *tracked { return b.job(0, "other", job.Step{Tasks: 1, Need: small}) },
+		},
+		{
+			"in time before late",
+			func(b *bench) *tracked {
+				late := b.job(0, "other", job.Step{Tasks: 1, Need: small})
+				late.job.Accepted = b.now.Add(-12 * time.Second)
+				return late
+			},
+			func(b *bench) *tracked { return b.job(0, "other", job.Step{Tasks: 1}) },
+		},
+		{
+			"guaranteed before small",
+			func(b *bench) *tracked { return b.job(0, "other", job.Step{Tasks: 1, Need: small}) },
+			func(b *bench) *tracked { return b.job(0, "sure", job.Step{Tasks: 1}) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, 1, 1)
+			first, second := test.first(b), test.second(b)
+			b.plan(0)
+			if len(b.at(second)) != 1 || len(b.at(first)) != 0 {
+				t.Errorf("the one that came first is at %v, the other at %v", b.at(first), b.at(second))
+			}
+		})
+	}
+}
+
 func TestPreemption(t *testing.T) {
+	t.Run("no more work is thrown away than the urgent job is worth", func(t *testing.T) {
+		tests := []struct {
+			name     string
+			team     string
+			worked   time.Duration
+			accepted time.Duration
+			stops    int
+		}{
+			{"a little work", "other", time.Second, 0, 1},
+			{"much work", "other", 12 * time.Second, 0, 0},
+			{"much work, but a guarantee", "sure", 12 * time.Second, 0, 1},
+			{"late, and some work", "other", time.Second, -5 * time.Second, 0},
+		}
+		for _, test := range tests {
+			t.Run(test.name, func(t *testing.T) {
+				b := newBench(t, 1, 1)
+				victim := b.job(1, "other", job.Step{Tasks: 1, Estimate: 20 * time.Second})
+				b.plan(0)
+				b.now = b.now.Add(test.worked)
+				b.observe(victim, b.now.Add(-test.worked), 50)
+				urgent := b.job(0, test.team, job.Step{Tasks: 1, Estimate: time.Second})
+				urgent.job.Accepted = b.now.Add(test.accepted)
+				b.plan(0)
+				if len(victim.stopping) != test.stops {
+					t.Errorf("%d runs were told to stop, want %d", len(victim.stopping), test.stops)
+				}
+			})
+		}
+	})
 	t.Run("the cheapest yields", func(t *testing.T) {
 		b := newBench(t, 1, 3)
 		old := b.job(2, "other", job.Step{Tasks: 1})
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -27,6 +27,9 @@
 	if domain == nil {
 		return "no room, and nothing yields"
 	}
+	if !w.assured && thrownBy(best) > p.budget(w) {
+		return "what yields would lose more work than this is worth"
+	}
 	for _, r := range best {
 		p.stop(r, "it yields to "+w.unit.Tasks[0].String())
 	}
@@ -36,6 +39,29 @@
 	return "what was told to stop still ends"
 }
 
+// Worth of urgent work, in core-seconds of other work for each of its own: while it may be in time, and once it is late.
+const (
+	worthInTime = 4.0
+	worthLate   = 0.5
+)
+
+// budget is how much work may be thrown away for a unit.
+func (p *plan) budget(w waiting) float64 {
+	own := float64(len(w.unit.Tasks)) * w.length.Seconds() * weight(w.step.Need)
+	if w.late {
+		return worthLate * own
+	}
+	return worthInTime * own
+}
+
+func thrownBy(runs []*running) float64 {
+	sum := 0.0
+	for _, r := range runs {
+		sum += r.thrown
+	}
+	return sum
+}
+
 // cheapest returns the runs to stop for a unit in the domain in which that costs the least; the domain is nil if nothing
 // that may be stopped makes enough room.
 func (p *plan) cheapest(w waiting) (victims []*running, domain []*node) {
