A holder of the office that does not reach the log hands it over

Cause: where the store turned the holder away, or it was cut off the store, the others waited for its sign as after a loss of power, though it lived and knew after half a second (jobtest.TestTakeover: a job handed in a second later was completed after 3.9 to 4.5 s). Change: after 0.4 s without success of a write the holder offers the office to the others; one takes it that reaches the log now and has done so without a gap for as long as the holder has not, so that an outage for all moves nothing.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -23,6 +23,17 @@
 // OfficePath is where an entry says who the dispatcher is.
 const OfficePath = "/internal/office"
 
+// HandoverPath is where an entry is asked to take the office over.
+const HandoverPath = "/internal/office/handover"
+
+// Handover is the holder's offer of the office: it does not reach the log.
+type Handover struct {
+	Term   int64  `json:"term"`
+	Holder string `json:"holder"`
+	// FailingMillis is for how long the holder has not reached the log.
+	FailingMillis int64 `json:"failing_ms"`
+}
+
 // Life describes one life of a worker.
 type Life struct {
 	ID      string   `json:"id"`
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -98,7 +98,7 @@
 		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: s.InnerAddress(innerPlace), Timing: timing},
 		dispatch.Parts{
 			Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Adviser: platform.NewAdvice(s, client),
-			Latency: latency, Client: client, Logger: t.Log,
+			Latency: latency, Client: client, Peers: e.directory.Entries, Logger: t.Log,
 		},
 	)
 	return e
@@ -147,6 +147,7 @@
 	inner.HandlerFunc(http.MethodPost, assignment.Path, e.dispatcher.ServePoll)
 	inner.HandlerFunc(http.MethodPost, jobstore.KeepPath, e.keeper.ServeKeep)
 	inner.HandlerFunc(http.MethodGet, assignment.OfficePath, e.dispatcher.ServeOffice)
+	inner.HandlerFunc(http.MethodPost, assignment.HandoverPath, e.dispatcher.ServeHandover)
 	intake.NewOperators(e.replica).Register(inner)
 	inner.Handler(http.MethodGet, "/metrics", e.telemetry.MetricsHandler)
 	handlers := map[string]http.Handler{
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -27,6 +27,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -98,8 +99,9 @@
 	Adviser Adviser
 	// Latency is that of the log's appends, as all of this process learn it.
 	Latency *hedge.Latency
-	// Client calls other entries.
+	// Client calls other entries; Peers returns the addresses of all of them.
 	Client *http.Client
+	Peers  func() []string
 	Logger zerolog.Logger
 }
 
@@ -109,6 +111,8 @@
 	parts    Parts
 	desk     *desk
 	resign   chan struct{}
+	// offered is the newest term whose holder has offered the office to this entry.
+	offered atomic.Int64
 }
 
 // New returns a dispatcher. Run starts it.
@@ -150,9 +154,8 @@
 // await returns when this entry holds a term above the one that it has lost. It claims none before the end of the rest.
 func (d *Dispatcher) await(ctx context.Context, lost int64, rest time.Time) (jobstore.Office, bool) {
 	drawn := d.settings.Timing.Patience + rand.N(d.settings.Timing.Patience/5)
-	// watching is since when this entry has been able to see a sign: after a gap in its own reads the holder gets its time.
-	watching := time.Now()
-	var claimed, asked, last time.Time
+	began := time.Now()
+	var claimed, asked time.Time
 	for {
 		if d.resigned() {
 			return jobstore.Office{}, false
@@ -163,18 +166,15 @@
 			return office, true
 		}
 		proof := d.parts.Replica.Proof()
-		if !last.IsZero() && proof.Sub(last) > d.settings.Timing.Doubt*2 {
-			watching = time.Now()
-		}
-		last = proof
-		if sign.Before(watching) {
+		// After a gap in this entry's own reads the holder gets its time to show itself.
+		if watching := time.Now().Add(-min(d.parts.Replica.Watched(), time.Since(began))); sign.Before(watching) {
 			sign = watching
 		}
 		// While the log is slow, so are the signs.
 		patience := max(drawn, 2*d.parts.Latency.Patience(0))
 		// The proof must be younger than the sign by the time waited: the holder's silence is not this entry's own deafness.
 		silence := min(proof.Sub(sign), time.Since(sign))
-		vacant := !proof.IsZero() && office.Holder == "" || silence > patience
+		vacant := !proof.IsZero() && (office.Holder == "" || office.Term == d.offered.Load()) || silence > patience
 		if !vacant && !proof.IsZero() && d.shouldAsk(office, sign, asked) {
 			asked = time.Now()
 			vacant = d.holderIsGone(ctx, office)
@@ -283,6 +283,9 @@
 		Limit: appendLimit,
 		Final: func(err error) bool { return errors.Is(err, jobstore.ErrFenced) || errors.Is(err, errSucceeded) },
 	}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	go t.handOver(ctx, func() { end(errHandedOver) })
 	offset, err := calls.Do(ctx)
 	switch {
 	case errors.Is(err, jobstore.ErrFenced):
--- /dev/null
+++ b/dispatch/handover.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jsonhttp"
+)
+
+// Times of a handover.
+const (
+	// handOverAfter is how long a write of the holder may go without success before it asks the others to take the office.
+	handOverAfter = 400 * time.Millisecond
+	// handOverPause is the pause between two rounds of asking, handOverTimeout bounds a question.
+	handOverPause   = 300 * time.Millisecond
+	handOverTimeout = 500 * time.Millisecond
+	// reachTimeout bounds the read by which an entry makes sure that it reaches the log before it takes the office over.
+	reachTimeout = 250 * time.Millisecond
+)
+
+// errHandedOver says that another entry takes the office, because this one does not reach the log.
+var errHandedOver = errors.New("handed over to an entry that reaches the log")
+
+// handOver waits until a write has gone without success for a while, and then asks the other entries to take the office,
+// until one will or ctx ends. It calls handed once one will.
+func (t *term) handOver(ctx context.Context, handed func()) {
+	began := time.Now()
+	wait := max(handOverAfter, 2*t.parts.Latency.Patience(0))
+	for pause(ctx, wait) {
+		if t.offer(ctx, time.Since(began)) {
+			handed()
+			return
+		}
+		wait = handOverPause
+	}
+}
+
+// offer asks all other entries at once, and reports whether one takes the office.
+func (t *term) offer(ctx context.Context, failing time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	answers := make(chan bool)
+	open := 0
+	for _, address := range t.parts.Peers() {
+		if address == t.office.Address {
+			continue
+		}
+		open++
+		go func() {
+			offer := assignment.Handover{Term: t.office.Term, Holder: t.office.Holder, FailingMillis: failing.Milliseconds()}
+			var none struct{}
+			err := jsonhttp.Call(ctx, t.parts.Client, "dispatch.offer", http.MethodPost, "http://"+address, assignment.HandoverPath, offer, &none)
+			select {
+			case answers <- err == nil:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	for ; open > 0; open-- {
+		select {
+		case taken := <-answers:
+			if taken {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+// ServeHandover takes the office over from a holder that does not reach the log, if this entry does, and has done so all the
+// while: when the log was away for all, the office stays where it is.
+func (d *Dispatcher) ServeHandover(w http.ResponseWriter, r *http.Request) {
+	var offer assignment.Handover
+	if err := jsonhttp.Read(w, r, &offer); err != nil {
+		jsonhttp.WriteError(w, err)
+		return
+	}
+	if err := d.accept(r.Context(), offer); err != nil {
+		jsonhttp.WriteError(w, &jsonhttp.StatusError{Status: http.StatusConflict, Message: err.Error()})
+		return
+	}
+	d.parts.Logger.Info().Str("step", "dispatch.handover").Int64("term", offer.Term).Str("holder", offer.Holder).Msg("office is offered, and taken over")
+	jsonhttp.Write(w, http.StatusOK, struct{}{})
+}
+
+// accept makes this entry claim the term after the one that is offered, or says why not.
+func (d *Dispatcher) accept(ctx context.Context, offer assignment.Handover) error {
+	if d.resigned() {
+		return errResigned
+	}
+	if office, _, _ := d.parts.Replica.Office(); office.Term != offer.Term || office.Holder != offer.Holder {
+		return errSucceeded
+	}
+	failing := time.Duration(offer.FailingMillis) * time.Millisecond
+	if watched := d.parts.Replica.Watched(); watched < failing {
+		return fmt.Errorf("the log was away here too, until %v ago", watched)
+	}
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	_, _, next := d.parts.Replica.Office()
+	if _, err := d.parts.Log.Read(ctx, next, 0); err != nil && !errors.Is(err, jobstore.ErrExpired) {
+		return err
+	}
+	d.offered.Store(offer.Term)
+	return nil
+}
+
+// pause waits, and reports whether ctx goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -14,6 +14,9 @@
 // replicaWait is how long a read of a replica waits for news: it bounds the age of its proof.
 const replicaWait = 300 * time.Millisecond
 
+// proofGap is how far apart two proofs may be: what happened between them was seen in time.
+const proofGap = 1200 * time.Millisecond
+
 // entry is what a replica knows of one job.
 type entry struct {
 	submission, cancel, progress                   []byte
@@ -26,13 +29,15 @@
 type Replica struct {
 	tail *Tail
 
-	mu      sync.Mutex
-	jobs    map[job.ID]*entry
-	office  Office
-	next    int64
-	proof   time.Time
-	sign    time.Time
-	changed chan struct{}
+	mu     sync.Mutex
+	jobs   map[job.ID]*entry
+	office Office
+	next   int64
+	proof  time.Time
+	// watching is since when proofs have followed one another without a gap.
+	watching time.Time
+	sign     time.Time
+	changed  chan struct{}
 	// fresh holds the jobs whose submission or cancel came since Take.
 	fresh map[job.ID]bool
 }
@@ -61,6 +66,9 @@
 	r.next = n.Next
 	first := r.proof.IsZero() && !n.Proof.IsZero()
 	if !n.Proof.IsZero() {
+		if n.Proof.Sub(r.proof) > proofGap {
+			r.watching = time.Now()
+		}
 		r.proof = n.Proof
 	}
 	if first || n.Loaded || len(n.Records) > 0 {
@@ -154,6 +162,16 @@
 	return r.proof
 }
 
+// Watched is for how long this process has been able to see at once what is written; zero if it is not now.
+func (r *Replica) Watched() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.proof.IsZero() || time.Since(r.proof) > proofGap {
+		return 0
+	}
+	return time.Since(r.watching)
+}
+
 // Office returns who is the dispatcher, when a sign of it was last seen, and the offset up to which this is known.
 func (r *Replica) Office() (o Office, sign time.Time, next int64) {
 	r.mu.Lock()
--- a/jobtest/recovery_test.go
+++ b/jobtest/recovery_test.go
@@ -71,9 +71,9 @@
 		lose  func(s *system, e *process)
 		bound time.Duration
 	}{
-		{"killed", func(s *system, e *process) { s.network.Kill("http://" + e.name); e.cancel() }, 5 * time.Second},
-		{"cut off the log", func(s *system, e *process) { s.log.SetFault(e.name, jobtest.Fault{Silent: true}) }, 6 * time.Second},
-		{"turned away by the log", func(s *system, e *process) { s.log.SetFault(e.name, jobtest.Fault{Refuse: true}) }, 6 * time.Second},
+		{"killed", func(s *system, e *process) { s.network.Kill("http://" + e.name); e.cancel() }, 4 * time.Second},
+		{"cut off the log", func(s *system, e *process) { s.log.SetFault(e.name, jobtest.Fault{Silent: true}) }, 3500 * time.Millisecond},
+		{"turned away by the log", func(s *system, e *process) { s.log.SetFault(e.name, jobtest.Fault{Refuse: true}) }, 3500 * time.Millisecond},
 		{"reached by no agent", func(s *system, e *process) {
 			for _, p := range s.agents {
 				s.network.Cut("http://"+p.name, "http://"+e.name, true)
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -138,12 +138,13 @@
 	p.intake = intake.New(intake.Settings{KeyProof: 5 * time.Second}, intake.Parts{Keeper: keeper, Replica: replica, Catalog: follower, Logger: logger})
 	dispatcher := dispatch.New(
 		dispatch.Settings{Holder: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: dispatch.DefaultTiming(lease)},
-		dispatch.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Latency: latency, Client: client, Logger: logger},
+		dispatch.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Latency: latency, Client: client, Peers: directory.Entries, Logger: logger},
 	)
 	p.dispatcher = dispatcher
 	r := httprouter.New()
 	r.HandlerFunc(http.MethodPost, assignment.Path, dispatcher.ServePoll)
 	r.HandlerFunc(http.MethodGet, assignment.OfficePath, dispatcher.ServeOffice)
+	r.HandlerFunc(http.MethodPost, assignment.HandoverPath, dispatcher.ServeHandover)
 	r.HandlerFunc(http.MethodPost, jobstore.KeepPath, keeper.ServeKeep)
 	s.network.Attach("http://"+p.name, r)
 	go replica.Run(ctx)
