A member of a gang that has done its work does not stand still

Cause: the tasks of a gang end together, and some are done seconds before the last. Change: what is at 99 % waits. Members of a gang are expected to end together. Test: TestPreemption/a member of a gang that has done its work, seen failing before.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -123,6 +123,7 @@
 			}
 		})
 	}
+	p.alignGangs()
 	for _, n := range p.nodes {
 		if n.trust.doubted() && len(n.runs) > 0 {
 			n.usable = false
@@ -130,6 +131,34 @@
 	}
 }
 
+// alignGangs lets the members of a gang end together, with the last of them.
+func (p *plan) alignGangs() {
+	ends := map[job.TaskName]time.Time{}
+	p.eachGangRun(func(gang job.TaskName, r *running) {
+		if r.ends.After(ends[gang]) {
+			ends[gang] = r.ends
+		}
+	})
+	p.eachGangRun(func(gang job.TaskName, r *running) { r.ends = ends[gang] })
+}
+
+// eachGangRun calls f for each run that is part of a gang, with the name of the gang's first task.
+func (p *plan) eachGangRun(f func(gang job.TaskName, r *running)) {
+	for _, n := range p.nodes {
+		for _, r := range n.runs {
+			if r.tracked.job.Steps[r.name.Step].Gang {
+				f(firstOf(r.name), r)
+			}
+		}
+	}
+}
+
+// firstOf names the first task of a task's step and round.
+func firstOf(name job.TaskName) job.TaskName {
+	name.Index = 0
+	return name
+}
+
 // estimate guesses when a run ends and what a stop would lose.
 func (p *plan) estimate(r *running, step job.Step) {
 	length := p.c.length(r.tracked, r.name.Step)
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -414,6 +414,18 @@
 			t.Error("it was told to stop")
 		}
 	})
+	t.Run("a member of a gang that has done its work waits for the others", func(t *testing.T) {
+		b := newBench(t, 1, 3)
+		gang := b.job(1, "other", job.Step{Tasks: 2, Gang: true, Estimate: 4 * time.Second})
+		b.plan(0)
+		began := b.now
+		b.plan(4 * time.Second)
+		b.observe(gang, began, 99)
+		b.plan(5 * time.Second)
+		if len(gang.stopping) != 0 {
+			t.Errorf("%d members were told to stop", len(gang.stopping))
+		}
+	})
 	t.Run("a run that stands still is moved", func(t *testing.T) {
 		b := newBench(t, 1, 2)
 		j := b.job(1, "other", job.Step{Tasks: 1, Estimate: 4 * time.Second})
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -275,8 +275,7 @@
 			groups = append(groups, group{runs: []*running{r}, rank: rank, loss: r.loss})
 			continue
 		}
-		first := job.TaskName{Job: r.name.Job, Round: r.name.Round, Step: r.name.Step}
-		if !gangs[first] {
+		if first := firstOf(r.name); !gangs[first] {
 			gangs[first] = true
 			groups = append(groups, p.gangOf(r, rank))
 		}
@@ -306,8 +305,11 @@
 	return max(2500*time.Millisecond, estimate/8)
 }
 
+// workDone is the percentage from which on a run has done its work: a member of a gang then waits for the others.
+const workDone = 99
+
 // moveStalled stops runs that stand still, so that they start elsewhere. A gang's member stands still also while it waits
-// for the others, so a gang is left alone until its members had time to come.
+// for the others: before they have come, which takes less than a stall, and after its own work is done.
 func (p *plan) moveStalled() {
 	for _, n := range p.nodes {
 		if p.now.Sub(n.heard) > p.c.timing.Silent {
@@ -316,7 +318,7 @@
 		for _, r := range n.runs {
 			step := r.tracked.job.Steps[r.name.Step]
 			o, known := n.worker.runs[runID(r)]
-			if !known || r.stopping || step.Lasts || o.percent < 0 {
+			if !known || r.stopping || step.Lasts || o.percent < 0 || o.percent >= workDone {
 				continue
 			}
 			if p.now.Sub(o.advanced) > stallAfter(step.Estimate) {
