Work is placed in the fullest rack first

Cause: urgent gangs of one rack need most of a rack; what was placed on the fullest worker anywhere took a little of each rack. Change: among the workers with room, those in the rack with the fewest free accelerators come first.

--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -151,9 +151,11 @@
 		}
 	}
 	avoid := avoided(w)
+	free := p.freeByRack()
 	slices.SortStableFunc(candidates, func(a, b *node) int {
 		return cmp.Or(
 			compareBool(avoid[a.name], avoid[b.name]),
+			cmp.Compare(free[a.life.Rack], free[b.life.Rack]),
 			cmp.Compare(room(a).Accelerators, room(b).Accelerators),
 			cmp.Compare(room(a).CPU, room(b).CPU),
 		)
@@ -174,6 +176,16 @@
 	return nil
 }
 
+// freeByRack is how many accelerators are free in each rack: what is placed in the fullest racks leaves whole racks for
+// gangs that need one.
+func (p *plan) freeByRack() map[string]int {
+	free := make(map[string]int, len(p.racks))
+	for rack, nodes := range p.racks {
+		free[rack] = freeAccelerators(nodes)
+	}
+	return free
+}
+
 // mayUse reports whether the unit may use a node that is held back for a gang: only if it ends in time.
 func (p *plan) mayUse(w waiting, n *node) bool {
 	return n.heldUntil.IsZero() || !p.now.Add(w.length).After(n.heldUntil)
