Room that stops free is for the one they were for

Change: for 1.2 s after work was stopped for a unit it comes before other urgent jobs, but for those under a guarantee. Test: TestPreemption/freed room is not for a smaller urgent job, seen failing before.

--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -24,6 +24,8 @@
 	took map[int]time.Duration
 	// failedOn is when a run of the job last failed on a worker.
 	failedOn map[string]time.Time
+	// cleared is when work was last told to stop for a unit, by its first task.
+	cleared map[job.TaskName]time.Time
 	// waits is why it was last logged to wait.
 	waits string
 }
@@ -48,7 +50,7 @@
 func newTracked(j *job.Job) *tracked {
 	return &tracked{
 		job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}, took: map[int]time.Duration{},
-		failedOn: map[string]time.Time{},
+		failedOn: map[string]time.Time{}, cleared: map[job.TaskName]time.Time{},
 	}
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -52,6 +52,8 @@
 	assured  bool
 	hopeless bool
 	late     bool
+	// clearing says that work was told to stop for it a moment ago: what that frees is not for others.
+	clearing bool
 	// work is what all tasks of the job do, in core-seconds.
 	work float64
 }
@@ -225,6 +227,10 @@
 	return most
 }
 
+// clearingTime is how long the room that stops free is kept for the one they were for: stops take up to 0.9 s on the users'
+// sites.
+const clearingTime = 1200 * time.Millisecond
+
 // waiting lists what may start now, in the order in which it is looked at: by priority; the assured first, and what earns
 // nothing any more last; then what is due first. Among jobs of priority 0 those come first that may still be in time, and of
 // these the small ones: most of them fit in beside a large one, which waits only a little longer for that.
@@ -247,7 +253,7 @@
 				tracked: t, unit: u, step: t.job.Steps[u.Step], due: due, length: p.c.length(t, u.Step), assured: p.assured[id],
 				hopeless: late && t.job.Times == 0 && !t.job.Lasting(),
 				late:     t.job.Priority == 0 && p.now.Add(p.c.length(t, u.Step)).After(due),
-				work:     p.c.work(t),
+				work:     p.c.work(t), clearing: p.now.Sub(t.cleared[u.Tasks[0]]) < clearingTime,
 			})
 		}
 	}
@@ -255,6 +261,7 @@
 		return cmp.Or(
 			cmp.Compare(a.tracked.job.Priority, b.tracked.job.Priority),
 			compareBool(b.assured, a.assured),
+			compareBool(b.clearing, a.clearing),
 			compareBool(a.hopeless, b.hopeless),
 			compareBool(a.late, b.late),
 			compareWork(a, b),
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -356,6 +356,19 @@
 			t.Errorf("the urgent task is placed on %v", got)
 		}
 	})
+	t.Run("freed room is not for a smaller urgent job that came later", func(t *testing.T) {
+		b := newBench(t, 1, 1)
+		victim := b.job(2, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		large := b.job(0, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		small := b.job(0, "other", job.Step{Tasks: 1, Need: job.Need{CPU: 1000, Memory: 1000, Accelerators: 1}})
+		b.finish(victim, job.EndStopped)
+		b.plan(300 * time.Millisecond)
+		if len(b.at(large)) != 1 || len(b.at(small)) != 0 {
+			t.Errorf("the large one is at %v, the small one at %v", b.at(large), b.at(small))
+		}
+	})
 	t.Run("a whole gang yields, and nothing else", func(t *testing.T) {
 		b := newBench(t, 1, 3)
 		gang := b.job(1, "other", job.Step{Tasks: 2, Gang: true})
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -30,6 +30,7 @@
 	if !w.assured && thrownBy(best) > p.budget(w) {
 		return "what yields would lose more work than this is worth"
 	}
+	w.tracked.cleared[w.unit.Tasks[0]] = p.now
 	for _, r := range best {
 		p.stop(r, "it yields to "+w.unit.Tasks[0].String())
 	}
