What fills beside tasks that serve users is paced, and may share their worker

Cause: tasks that fill were kept off workers with tasks that have a target. Change: after 1.5 s without a worker of its own kind a task shares one. Tasks with a target are spread over workers, because they disturb one another too.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -63,6 +63,9 @@
 	Saved string `json:"s,omitempty"`
 	// AgeMillis is for how long the run has been there; zero if the agent did not see the start.
 	AgeMillis int64 `json:"age_ms,omitempty"`
+	// Gauge is the worker's rough figure of the last half second: for a task with a target the tail of its answers' times, in
+	// milliseconds.
+	Gauge int `json:"-"`
 }
 
 // Age is AgeMillis as a duration.
@@ -121,6 +124,15 @@
 	Ticket string `json:"ticket,omitempty"`
 }
 
+// Role is how a run shares its worker's processors with others beside it.
+type Role struct {
+	RunID
+	// TargetMillis bounds the tail of the answers' times of a run that serves users; Fills says that it takes what others
+	// leave.
+	TargetMillis int64 `json:"target_ms,omitempty"`
+	Fills        bool  `json:"fills,omitempty"`
+}
+
 // Answer is what the dispatcher says.
 type Answer struct {
 	Term int64 `json:"term"`
@@ -135,7 +147,9 @@
 	// stop all the same: their start may be under way, or the dispatcher has missed their end and waits for it.
 	Stop   []RunID `json:"stop,omitempty"`
 	Settle []RunID `json:"settle,omitempty"`
-	// Life is the life that Start, Stop, Settle and Seen are about; Seen is up to which end all is kept.
+	// Roles lists those of the worker's runs that have a target or that fill.
+	Roles []Role `json:"roles,omitempty"`
+	// Life is the life that Start, Stop, Settle, Roles and Seen are about; Seen is up to which end all is kept.
 	Life string `json:"life,omitempty"`
 	Seen int64  `json:"seen,omitempty"`
 	// Heard is the sequence number of the newest poll all of whose news are kept. Polls may overtake one another, and only
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -402,12 +402,21 @@
 			p.want[name] = wanted{
 				start:    start,
 				stopping: t.stopping[name] == task.Run || t.progress.Phase == job.Cancelled || t.progress.Phase == job.Failed,
+				role:     roleOf(start.RunID, t.job.Steps[name.Step]),
 			}
 		})
 	}
 	return all
 }
 
+// roleOf is how a run of the step shares its worker's processors, or nil if in no way of its own.
+func roleOf(id assignment.RunID, s job.Step) *assignment.Role {
+	if !s.Fills && s.Target == 0 {
+		return nil
+	}
+	return &assignment.Role{RunID: id, TargetMillis: s.Target.Milliseconds(), Fills: s.Fills}
+}
+
 // sleep is how long the control goroutine may wait for news.
 func (c *control) sleep(written time.Time) time.Duration {
 	wait := min(time.Until(written.Add(c.timing.Renew)), time.Until(c.next))
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -9,10 +9,11 @@
 	"yarrowgrade.example/yarrowgrade/job"
 )
 
-// wanted is a run that should be on a worker.
+// wanted is a run that should be on a worker. Its role is nil if it shares nothing in a way of its own.
 type wanted struct {
 	start    assignment.Start
 	stopping bool
+	role     *assignment.Role
 }
 
 // place is what the desk knows of one worker and its agent.
@@ -252,6 +253,9 @@
 		have[r.RunID] = true
 	}
 	for _, w := range p.want {
+		if w.role != nil {
+			a.Roles = append(a.Roles, *w.role)
+		}
 		switch {
 		case have[w.start.RunID]:
 		case w.stopping:
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -230,6 +230,38 @@
 			t.Errorf("%d of 4 are placed", len(b.at(fills)))
 		}
 	})
+	t.Run("where no worker is without tasks that serve, filling tasks share one after a while", func(t *testing.T) {
+		b := newBench(t, 1, 1)
+		b.job(1, "other", job.Step{Tasks: 1, Lasts: true, Target: time.Second, Need: small})
+		b.plan(0)
+		fills := b.job(2, "other", job.Step{Tasks: 1, Fills: true, Need: small})
+		b.plan(100 * time.Millisecond)
+		if got := b.at(fills); len(got) != 0 {
+			t.Errorf("it is placed on %v at once", got)
+		}
+		b.plan(sharePatience)
+		if got := b.at(fills); len(got) != 1 {
+			t.Error("it still waits")
+		}
+	})
+	t.Run("tasks that serve are spread", func(t *testing.T) {
+		b := newBench(t, 1, 3)
+		b.job(2, "other", job.Step{Tasks: 1, Need: small})
+		b.plan(0)
+		for i := range 3 {
+			b.job(1, "other", job.Step{Tasks: 1, Lasts: true, Target: time.Second, Need: small})
+			b.plan(time.Duration(i) * time.Millisecond)
+		}
+		on := map[string]int{}
+		for _, t := range b.control.jobs {
+			if t.job.Lasting() {
+				on[b.at(t)[0]]++
+			}
+		}
+		if len(on) != 3 {
+			t.Errorf("three tasks that serve are on %v", on)
+		}
+	})
 	t.Run("a task that failed tries another worker", func(t *testing.T) {
 		b := newBench(t, 1, 2)
 		j := b.job(1, "other", job.Step{Tasks: 1, Need: small})
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -17,7 +17,6 @@
 	need                     job.Need
 	tasks                    int
 	gang, sameRack           bool
-	fills, target            bool
 	length                   time.Duration
 	// job is set where the outcome depends on what else of the job runs, or on what was said of it.
 	job job.ID
@@ -27,10 +26,10 @@
 func searchOf(w waiting) search {
 	s := search{
 		service: w.tracked.job.Service, label: w.step.Label, dataRack: w.step.DataRack, need: w.step.Reserved(),
-		tasks: len(w.unit.Tasks), gang: w.step.Gang, sameRack: w.step.SameRack, fills: w.step.Fills, target: w.step.Target > 0,
+		tasks: len(w.unit.Tasks), gang: w.step.Gang, sameRack: w.step.SameRack,
 		length: w.length,
 	}
-	if w.step.PerWorker > 0 || w.tracked.job.Advised || w.step.DataRack != "" || len(w.tracked.failedOn) > 0 {
+	if w.step.PerWorker > 0 || w.tracked.job.Advised || w.step.DataRack != "" || len(w.tracked.failedOn) > 0 || w.step.Fills || w.step.Target > 0 {
 		s.job = w.tracked.job.ID
 	}
 	return s
@@ -85,12 +84,24 @@
 
 // allowed reports whether the tasks of the unit may run on the node at all.
 func allowed(w waiting, n *node) bool {
-	return n.life.Service == w.tracked.job.Service && (w.step.Label == "" || slices.Contains(n.life.Labels, w.step.Label)) &&
-		!disturbs(w.step, n)
+	return n.life.Service == w.tracked.job.Service && (w.step.Label == "" || slices.Contains(n.life.Labels, w.step.Label))
+}
+
+// sharePatience is how long a task waits for a worker on which it neither fills beside tasks with a target nor serves beside
+// tasks that fill. After that it shares one, and the agent there paces what fills.
+const sharePatience = 1500 * time.Millisecond
+
+// mayShare reports whether the unit may be placed on the node as far as disturbing others goes.
+func (p *plan) mayShare(w waiting, n *node) bool {
+	since := w.tracked.job.Accepted
+	if due := w.tracked.job.DueAt(w.unit.Round); due.After(since) {
+		since = due
+	}
+	return !disturbs(w.step, n) || p.now.Sub(since) >= sharePatience
 }
 
 // disturbs reports whether the step's tasks fill beside tasks on the node that have a target for their users, or the other
-// way round. What filling costs them is not known beforehand, so the two are kept apart.
+// way round.
 func disturbs(step job.Step, n *node) bool {
 	if !step.Fills && step.Target == 0 {
 		return false
@@ -146,15 +157,18 @@
 	need := w.step.Reserved()
 	var candidates []*node
 	for _, n := range domain {
-		if n.usable && need.Fits(room(n)) && allowed(w, n) && p.mayUse(w, n) && p.hasTicket(w, n) && !p.failedThere(w, n) {
+		if n.usable && need.Fits(room(n)) && allowed(w, n) && p.mayUse(w, n) && p.hasTicket(w, n) && !p.failedThere(w, n) && p.mayShare(w, n) {
 			candidates = append(candidates, n)
 		}
 	}
 	avoid := avoided(w)
+	serving := servingOn(w, candidates)
 	free := p.freeByRack()
 	slices.SortStableFunc(candidates, func(a, b *node) int {
 		return cmp.Or(
 			compareBool(avoid[a.name], avoid[b.name]),
+			compareBool(disturbs(w.step, a), disturbs(w.step, b)),
+			cmp.Compare(serving[a], serving[b]),
 			cmp.Compare(free[a.life.Rack], free[b.life.Rack]),
 			cmp.Compare(room(a).Accelerators, room(b).Accelerators),
 			cmp.Compare(room(a).CPU, room(b).CPU),
@@ -176,6 +190,23 @@
 	return nil
 }
 
+// servingOn counts the tasks with a target on each of the nodes, for a unit that has one too: their load disturbs the others,
+// so they are spread. For other units it is nil.
+func servingOn(w waiting, nodes []*node) map[*node]int {
+	if w.step.Target == 0 {
+		return nil
+	}
+	counts := map[*node]int{}
+	for _, n := range nodes {
+		for _, r := range n.runs {
+			if r.tracked.job.Steps[r.name.Step].Target > 0 {
+				counts[n]++
+			}
+		}
+	}
+	return counts
+}
+
 // freeByRack is how many accelerators are free in each rack: what is placed in the fullest racks leaves whole racks for
 // gangs that need one.
 func (p *plan) freeByRack() map[string]int {
--- a/jobtest/rules.go
+++ b/jobtest/rules.go
@@ -102,17 +102,21 @@
 }
 
 // AnyRun reports whether a task of a job runs somewhere.
-func (ws *Workers) AnyRun(id job.ID) bool {
+func (ws *Workers) AnyRun(id job.ID) bool { return ws.Running(id) > 0 }
+
+// Running counts the tasks of a job that run somewhere.
+func (ws *Workers) Running(id job.ID) int {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
+	n := 0
 	for _, w := range ws.workers {
 		for name := range w.runs {
 			if name.Job == id && w.up {
-				return true
+				n++
 			}
 		}
 	}
-	return false
+	return n
 }
 
 // EverRan reports whether a task of a job was ever started anywhere.
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -72,7 +72,9 @@
 	accepted  map[job.ID]bool
 	refused   map[job.ID]bool
 	cancelled map[job.ID]bool
-	number    int
+	// lasting are the jobs that run until they are cancelled.
+	lasting []*job.Job
+	number  int
 }
 
 func newSystem(ctx context.Context, t *testing.T, seed uint64) *system {
@@ -249,12 +251,28 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
-	if s.random.IntN(6) == 0 {
+	switch s.random.IntN(8) {
+	case 0:
 		j.Times, j.First, j.Every = 2, time.Now().Add(time.Second), 3*time.Second
+	case 1:
+		j.Steps = []job.Step{s.drawServing()}
+		s.lasting = append(s.lasting, j)
+	case 2:
+		for i := range j.Steps {
+			j.Steps[i].Fills, j.Steps[i].Gang, j.Steps[i].SameRack = true, false, false
+		}
 	}
 	return j, queue
 }
 
+// drawServing draws a step that lasts until it is cancelled, and serves users.
+func (s *system) drawServing() job.Step {
+	return job.Step{
+		Tasks: 1 + s.random.IntN(3), Need: job.Need{CPU: 1000, Memory: 1000, Accelerators: s.random.IntN(2)}, Estimate: 2 * time.Second,
+		Lasts: true, Image: "serve", Target: 100 * time.Millisecond, Bounded: true, MayMiss: 1,
+	}
+}
+
 // disturb draws one fault; it is over within six seconds, unless it says otherwise.
 func (s *system) disturb() {
 	r := s.random
@@ -329,7 +347,24 @@
 	for _, w := range s.worker {
 		w.Heal()
 	}
-	time.Sleep(90 * time.Second)
+	time.Sleep(20 * time.Second)
+	s.endLasting()
+	time.Sleep(70 * time.Second)
+}
+
+// endLasting checks that what lasts is at work once all has healed, and cancels it.
+func (s *system) endLasting() {
+	for _, j := range s.lasting {
+		if s.cancelled[j.ID] || !s.accepted[j.ID] {
+			continue
+		}
+		if got, want := s.workers.Running(j.ID), j.Steps[0].Tasks; got != want {
+			s.t.Errorf("LOST: %d of %d tasks of lasting job %s are at work 20 s after all faults", got, want, j.ID)
+		}
+	}
+	for _, j := range s.lasting {
+		s.cancel(j.ID, j.Priority)
+	}
 }
 
 // check compares what callers were told with what the workers saw.
--- a/jobtest/workers.go
+++ b/jobtest/workers.go
@@ -100,6 +100,28 @@
 	resumed  time.Duration
 	stopping time.Time
 	fails    bool
+	// pace is its speed in percent; lost is the work that it has not done for that, up to the time lostUntil.
+	pace      int
+	lost      time.Duration
+	lostUntil time.Time
+	// harmed is since when a run with a target has been over it by what fills beside it.
+	harmed time.Time
+}
+
+// worked is how long the run has worked, with what it resumed from.
+func (r *run) worked(now time.Time) time.Duration {
+	if r.begun.IsZero() {
+		return r.resumed
+	}
+	return now.Sub(r.begun) + r.resumed - r.lost
+}
+
+// advance counts the work that is lost by the pace.
+func (r *run) advance(now time.Time) {
+	if !r.begun.IsZero() {
+		r.lost += now.Sub(r.lostUntil) * time.Duration(100-r.pace) / 100
+	}
+	r.lostUntil = now
 }
 
 // Add adds a worker and its first life.
@@ -201,6 +223,8 @@
 		w.lapsed = now
 	}
 	for _, r := range w.runs {
+		r.advance(now)
+		w.checkHarm(r, now)
 		switch {
 		case w.clock(now) >= w.until:
 			w.end(r, job.EndLapsed, now)
@@ -208,7 +232,7 @@
 			w.end(r, job.EndStopped, now)
 		case r.begun.IsZero():
 			w.gather(r, now)
-		case now.Sub(r.begun)+r.resumed >= r.work:
+		case !w.all.stepOf(r.id.Task).Lasts && r.worked(now) >= r.work:
 			w.finish(r, now)
 		}
 	}
@@ -296,8 +320,7 @@
 	if !w.all.stepOf(r.id.Task).Checkpoint || r.begun.IsZero() {
 		return ""
 	}
-	worked := time.Since(r.begun) + r.resumed
-	return worked.Truncate(saveEvery).String()
+	return r.worked(time.Now()).Truncate(saveEvery).String()
 }
 
 var errLost = errors.New("the answer was lost")
@@ -373,7 +396,7 @@
 		return runner.ErrNoRoom
 	}
 	w.all.check(w, s)
-	r := &run{id: s.RunID, need: step.Reserved(), arrived: now, work: w.all.workOf(s.Task), fails: w.all.random.Float64() < w.all.FailureShare}
+	r := &run{id: s.RunID, need: step.Reserved(), arrived: now, pace: 100, lostUntil: now, work: w.all.workOf(s.Task), fails: w.all.random.Float64() < w.all.FailureShare}
 	if r.resumed, _ = time.ParseDuration(s.Saved); !step.Gang {
 		r.begun = now
 	}
@@ -414,6 +437,17 @@
 	})
 }
 
+// Pace implements runner.Worker.
+func (w *Worker) Pace(ctx context.Context, o runner.Order, id assignment.RunID, percent int) (int64, error) {
+	return w.order(ctx, o, func() error {
+		if r := w.runs[id.Task]; r != nil && r.id.Run == id.Run {
+			r.advance(time.Now())
+			r.pace = percent
+		}
+		return nil
+	})
+}
+
 // Hold implements runner.Worker.
 func (w *Worker) Hold(ctx context.Context, o runner.Order, until, seen int64, wait time.Duration) (runner.Listing, int64, error) {
 	var l runner.Listing
@@ -467,9 +501,9 @@
 	for _, r := range w.runs {
 		percent := 0
 		if !r.begun.IsZero() {
-			percent = min(99, int(100*(time.Since(r.begun)+r.resumed)/r.work))
+			percent = min(99, int(100*r.worked(time.Now())/r.work))
 		}
-		l.Runs = append(l.Runs, assignment.Run{RunID: r.id, Percent: percent, Saved: w.saved(r)})
+		l.Runs = append(l.Runs, assignment.Run{RunID: r.id, Percent: percent, Saved: w.saved(r), Gauge: w.gauge(r)})
 	}
 	l.Ends = append(l.Ends, w.ends...)
 	return l
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -108,7 +108,7 @@
 			r.runs[run.RunID] = k
 			news = true
 		}
-		k.phase, k.percent, k.saved = there, run.Percent, run.Saved
+		k.phase, k.percent, k.saved, k.gauge = there, run.Percent, run.Saved, run.Gauge
 	}
 	for _, e := range l.Ends {
 		if e.Number <= r.seen {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -67,6 +67,8 @@
 	phase   phase
 	percent int
 	saved   string
+	// gauge is the worker's figure for the run; see assignment.Run.
+	gauge int
 	// stopping says that a stop is under way.
 	stopping bool
 	// began is when the worker said that it had started the run; zero if this agent did not order that.
@@ -115,20 +117,22 @@
 	// ended holds the highest run of each task that has ended or was refused in this life.
 	ended    map[job.TaskName]int
 	seen     int64
+	pacer    pacer
 	sequence int64
 	// generation counts lives, so that what was under way for an earlier one is dropped.
 	generation int
 
-	report chan struct{}
-	extend chan struct{}
-	work   *conc.WaitGroup
+	report  chan struct{}
+	extend  chan struct{}
+	sharing chan struct{}
+	work    *conc.WaitGroup
 }
 
 // New returns a runner. Run starts it.
 func New(s Settings, p Parts) *Runner {
 	r := &Runner{
 		settings: s, parts: p, former: map[string]bool{}, over: map[string]int64{},
-		report: make(chan struct{}, 1), extend: make(chan struct{}, 1), work: conc.NewWaitGroup(),
+		report: make(chan struct{}, 1), extend: make(chan struct{}, 1), sharing: make(chan struct{}, 1), work: conc.NewWaitGroup(),
 	}
 	r.reset()
 	return r
@@ -138,7 +142,7 @@
 func (r *Runner) reset() {
 	r.runs, r.ends = map[assignment.RunID]*known{}, map[int64]assignment.End{}
 	r.refused, r.ended = map[assignment.RunID]refusal{}, map[job.TaskName]int{}
-	r.seen, r.listed, r.readAt, r.told = 0, false, time.Time{}, time.Time{}
+	r.seen, r.listed, r.readAt, r.told, r.pacer = 0, false, time.Time{}, time.Time{}, newPacer()
 	r.generation++
 }
 
@@ -149,6 +153,7 @@
 	wg.Go(func() { r.pollLoop(ctx, false, r.report) })
 	wg.Go(func() { r.listLoop(ctx) })
 	wg.Go(func() { r.extendLoop(ctx) })
+	wg.Go(func() { r.paceLoop(ctx) })
 	wg.Wait()
 	r.work.Wait()
 }
@@ -294,6 +299,9 @@
 		maps.DeleteFunc(r.ends, func(n int64, _ assignment.End) bool { return n <= a.Seen })
 		signal(r.extend)
 	}
+	if r.pacer.assign(a.Roles); len(a.Roles) > 0 {
+		signal(r.sharing)
+	}
 	for _, id := range a.Stop {
 		if !r.endedTask(id.Task, id.Run) {
 			r.beginStop(ctx, id, "stopped")
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -42,6 +42,8 @@
 	Start(ctx context.Context, o Order, s assignment.Start, until int64) (clock int64, err error)
 	// Stop stops a run, and makes sure that it never starts if it has not.
 	Stop(ctx context.Context, o Order, id assignment.RunID) (clock int64, err error)
+	// Pace lets a run work, and disturb others, at a share of its speed in percent.
+	Pace(ctx context.Context, o Order, id assignment.RunID, percent int) (clock int64, err error)
 	// Hold extends the lease of all runs, forgets the ends up to seen, and lists the rest. It waits for an end up to wait.
 	// An until of zero extends nothing.
 	Hold(ctx context.Context, o Order, until, seen int64, wait time.Duration) (Listing, int64, error)
