--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -225,6 +225,10 @@
 	}
 	for _, life := range poll.Over {
 		c.lose(w.name, life, "its life is over")
+		if w.life != nil && w.life.ID == life {
+			// Nothing is placed there until the next life reports.
+			w.life = nil
+		}
 	}
 }
 
--- a/dispatch/control_test.go
+++ b/dispatch/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/job"
@@ -61,3 +62,26 @@
 		t.Errorf("run %d on %s, want run 2 on the next life", task.Run, task.Life)
 	}
 }
+
+// TestNothingOnALifeThatIsOver: between two lives of a worker nothing is placed on it.
+func TestNothingOnALifeThatIsOver(t *testing.T) {
+	b := newBench(t, 1, 1)
+	j := b.job(1, "other", job.Step{Tasks: 1})
+	b.plan(0)
+	w, _, poll := b.reported(j)
+	over := w.life.ID
+	poll.Life, poll.Listed, poll.Over = nil, false, []string{over}
+	for range 3 {
+		b.control.report(b.now, w, poll)
+		b.plan(10 * time.Millisecond)
+	}
+	if got := b.at(j); len(got) != 0 {
+		t.Errorf("it is placed on %v, whose life is over", got)
+	}
+	next := &assignment.Life{ID: "next", Service: service, Rack: "r0", Room: job.Need{CPU: 64_000, Memory: 128_000, Accelerators: 8}}
+	b.control.report(b.now, w, assignment.Poll{Worker: w.name, Life: next, Listed: true, Over: []string{over}})
+	b.plan(0)
+	if task := j.progress.Task(job.TaskName{Job: j.job.ID}); task.Life != "next" || task.Run != 2 {
+		t.Errorf("run %d is on life %q, want run 2 on the next one", task.Run, task.Life)
+	}
+}
