Links and processes of tests have a package of their own

Cause: the fault soak needs what the tests of real processes have: links that are cut, and processes started and signalled by id. The tests of sessions use it.

--- a/e2e/capacity_agent_test.go
+++ b/e2e/capacity_agent_test.go
@@ -39,15 +39,15 @@
 	b.Cleanup(server.Close)
 	var bytes atomic.Int64
 	entry, leader := freeAddresses(b, 1)[0], freeAddresses(b, 1)[0]
-	e := &process{t: b, name: "entry", address: "http://" + entry, log: filepath.Join(b.TempDir(), "entry.log"), args: []string{
-		"entry", "--name", "entry", "--zone", "z", "--listen", entry, "--platform", server.URL, "--log-level", "warn"}}
+	e := newProcess(b, "entry", "http://"+entry, filepath.Join(b.TempDir(), "entry.log"),
+		"entry", "--name", "entry", "--zone", "z", "--listen", entry, "--platform", server.URL, "--log-level", "warn")
 	e.start()
 	b.Cleanup(e.kill)
 	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	b.Cleanup(target.Close)
-	a := &process{t: b, name: "agent", address: "http://" + leader, log: filepath.Join(b.TempDir(), "agent.log"), args: []string{
+	a := newProcess(b, "agent", "http://"+leader, filepath.Join(b.TempDir(), "agent.log"),
 		"agent", "--name", "a-leader", "--zone", "z", "--rack", "r", "--accelerators", "1", "--listen", leader, "--service", service,
-		"--target", target.URL, "--platform", server.URL, "--entries", "http://" + entry, "--log-level", "warn"}}
+		"--target", target.URL, "--platform", server.URL, "--entries", "http://"+entry, "--log-level", "warn")
 	a.start()
 	b.Cleanup(a.kill)
 	s := &swarm{b: b, platform: p, entries: []*process{e}, client: client.New(e.address, &http.Client{Timeout: patience})}
@@ -76,7 +76,7 @@
 		v, err := s.client.Session(ctx, "gang")
 		return err == nil && v.Placement != nil && s.runs(v.Placement.Members[members-1].Worker, v.Placement.Token)
 	})
-	report(b, a.cmd.Process.Pid, bytes.Load)
+	report(b, a.ID(), bytes.Load)
 }
 
 // BenchmarkKey compares what a request costs without a key, with one, and with the key's own round trip.
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -159,11 +159,11 @@
 		}
 	}
 	name := fmt.Sprintf("entry-%d", i)
-	p := &process{t: s.b, name: name, address: "http://" + address, log: filepath.Join(s.b.TempDir(), name+".log"), args: []string{
+	p := newProcess(s.b, name, "http://"+address, filepath.Join(s.b.TempDir(), name+".log"),
 		"entry", "--name", name, "--zone", "z", "--listen", address, "--platform", platformURL, "--log-level", "warn",
-	}}
+	)
 	if len(peers) > 0 {
-		p.args = append(p.args, "--peers", strings.Join(peers, ","))
+		p.Args = append(p.Args, "--peers", strings.Join(peers, ","))
 	}
 	p.start()
 	s.b.Cleanup(p.kill)
@@ -300,7 +300,7 @@
 	s.fill(agents + waitingCount)
 	s.eventuallyEvery(200*time.Millisecond, func() bool { return s.running() == agents })
 	time.Sleep(settle)
-	report(b, s.entries[0].cmd.Process.Pid, func() int64 { return s.bytes() / int64(entries) })
+	report(b, s.entries[0].ID(), func() int64 { return s.bytes() / int64(entries) })
 	b.ReportMetric(float64(s.logBytes.Load())/float64(max(s.agentBytes.Load(), 1)), "log/agent-bytes")
 	var changes []time.Duration
 	for range 5 {
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -20,6 +19,7 @@
 	"yarrowgrade.example/yarrowgrade/client"
 	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
+	"yarrowgrade.example/yarrowgrade/loopback"
 	"yarrowgrade.example/yarrowgrade/placement"
 	"yarrowgrade.example/yarrowgrade/request"
 )
@@ -47,49 +47,47 @@
 
 // process is one program that the test started.
 type process struct {
+	*loopback.Process
 	t       testing.TB
 	name    string
-	args    []string
 	address string
-	cmd     *exec.Cmd
-	log     string
-	done    chan struct{}
 	// inbound carries what others send to the process, platform what it sends to the platform.
-	inbound, platform *link
+	inbound, platform *loopback.Link
 }
 
-// start runs the program, again if it ran before. Its log goes to a file that is printed if the test fails.
+// newProcess returns a process of the daemon. Its log goes to a file that is printed if the test fails.
+func newProcess(t testing.TB, name, address, log string, args ...string) *process {
+	path := filepath.Join(binaries, "yarrowgraded")
+	return &process{Process: &loopback.Process{Path: path, Args: args, Log: log}, t: t, name: name, address: address}
+}
+
+// start runs the program, again if it ran before.
 func (p *process) start() {
 	p.t.Helper()
-	p.cmd = exec.Command(filepath.Join(binaries, "yarrowgraded"), p.args...)
-	file, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
+	if err := p.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	p.cmd.Stderr = file
-	if err := p.cmd.Start(); err != nil {
-		p.t.Fatal(err)
-	}
-	file.Close()
-	cmd, done := p.cmd, make(chan struct{})
-	p.done = done
-	go func() {
-		_ = cmd.Wait()
-		close(done)
-	}()
 }
 
 func (p *process) signal(s syscall.Signal) {
 	p.t.Helper()
-	if err := p.cmd.Process.Signal(s); err != nil {
+	if err := p.Signal(s); err != nil {
 		p.t.Fatalf("%s: %v", p.name, err)
 	}
 }
 
 // kill ends the process at once and waits until it is gone.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
+func (p *process) kill() { p.Kill() }
+
+// newLink returns a link that ends with the test. Where it goes is set before it is used.
+func newLink(t testing.TB) *loopback.Link {
+	t.Helper()
+	l, err := loopback.NewLink()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
 }
 
 // target is a back end that records what it runs.
@@ -151,24 +149,24 @@
 		t.Cleanup(tg.server.Close)
 		c.targets = append(c.targets, tg)
 	}
-	var inbound, outbound []*link
+	var inbound, outbound []*loopback.Link
 	for range entryCount + agentCount {
 		inbound, outbound = append(inbound, newLink(t)), append(outbound, newLink(t))
 	}
 	addresses := freeAddresses(t, entryCount+agentCount)
 	for i := range addresses {
-		inbound[i].lead(addresses[i])
-		outbound[i].lead(strings.TrimPrefix(server.URL, "http://"))
+		inbound[i].Lead(addresses[i])
+		outbound[i].Lead(strings.TrimPrefix(server.URL, "http://"))
 	}
 	for i := range entryCount {
 		c.entries = append(c.entries, c.start("entry", fmt.Sprintf("entry-%d", i+1), addresses[i], inbound[i], outbound[i],
-			"--zone", "zone-a", "--drain", "300ms", "--peers", inbound[(i+1)%entryCount].url()))
+			"--zone", "zone-a", "--drain", "300ms", "--peers", inbound[(i+1)%entryCount].URL()))
 	}
 	for i := range agentCount {
 		args := append([]string{
 			"--zone", "zone-a", "--rack", fmt.Sprintf("rack-%d", i/3+1),
 			"--accelerators", fmt.Sprint(accelerators), "--service", service, "--target", c.targets[i].server.URL,
-			"--entries", inbound[0].url() + "," + inbound[1].url(),
+			"--entries", inbound[0].URL() + "," + inbound[1].URL(),
 		}, extra...)
 		at := entryCount + i
 		c.agents = append(c.agents, c.start("agent", fmt.Sprintf("worker-%d", i+1), addresses[at], inbound[at], outbound[at], args...))
@@ -184,13 +182,11 @@
 	return c
 }
 
-func (c *cluster) start(role, name, address string, inbound, outbound *link, args ...string) *process {
-	p := &process{
-		t: c.t, name: name, address: "http://" + address, log: filepath.Join(c.logs, name+".log"),
-		inbound: inbound, platform: outbound,
-	}
-	p.args = append([]string{role, "--name", name, "--listen", address, "--address", inbound.url(),
-		"--platform", p.platform.url(), "--log-level", "debug"}, args...)
+func (c *cluster) start(role, name, address string, inbound, outbound *loopback.Link, args ...string) *process {
+	args = append([]string{role, "--name", name, "--listen", address, "--address", inbound.URL(),
+		"--platform", outbound.URL(), "--log-level", "debug"}, args...)
+	p := newProcess(c.t, name, "http://"+address, filepath.Join(c.logs, name+".log"), args...)
+	p.inbound, p.platform = inbound, outbound
 	p.start()
 	return p
 }
@@ -198,11 +194,9 @@
 // stop ends what still runs and prints the logs of a test that failed.
 func (c *cluster) stop() {
 	for _, p := range append(c.entries, c.agents...) {
-		_ = p.cmd.Process.Signal(syscall.SIGCONT)
-		_ = p.cmd.Process.Kill()
-		<-p.done
+		p.kill()
 		if c.t.Failed() {
-			data, _ := os.ReadFile(p.log)
+			data, _ := os.ReadFile(p.Log)
 			c.t.Logf("log of %s:\n%s", p.name, data)
 		}
 	}
@@ -210,14 +204,9 @@
 
 func freeAddresses(t testing.TB, n int) []string {
 	t.Helper()
-	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		list = append(list, l.Addr().String())
+	list, err := loopback.FreeAddresses(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return list
 }
--- a/e2e/cut_test.go
+++ b/e2e/cut_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/ledger"
+	"yarrowgrade.example/yarrowgrade/loopback"
 	"yarrowgrade.example/yarrowgrade/placement"
 	"yarrowgrade.example/yarrowgrade/request"
 )
@@ -20,7 +21,7 @@
 	all := []string{"rebuild"}
 	for i := range c.entries {
 		cut, other := c.entries[i], c.client(1-i)
-		cut.platform.cut()
+		cut.platform.Cut()
 		// Two sessions on workers of their own, so that often one of their agents polls the entry that is cut.
 		names := []string{fmt.Sprintf("swap-%d-a", i), fmt.Sprintf("swap-%d-b", i)}
 		for _, name := range names {
@@ -50,7 +51,7 @@
 		if n := c.tasks(p.Token); n != len(p.Members) {
 			t.Errorf("%d of %d tasks run while an entry is cut off the log", n, len(p.Members))
 		}
-		cut.platform.heal()
+		cut.platform.Heal()
 		c.eventually("the entry has read on", func() bool {
 			v, err := c.client(i).Session(t.Context(), names[1])
 			return err == nil && v.Placement != nil && v.Placement.Phase == ledger.Running
@@ -73,13 +74,13 @@
 		member int
 		cut    func(p *process)
 	}{
-		{"the leader gets no beats", 0, func(p *process) { p.inbound.forth.shut() }},
-		{"the leader's grants do not arrive", 0, func(p *process) { p.inbound.back.shut() }},
-		{"a member gets no answers from its worker", 1, func(p *process) { p.platform.back.shut() }},
-		{"a member does not reach its worker", 1, func(p *process) { p.platform.forth.shut() }},
+		{"the leader gets no beats", 0, func(p *process) { p.inbound.Forth.Shut() }},
+		{"the leader's grants do not arrive", 0, func(p *process) { p.inbound.Back.Shut() }},
+		{"a member gets no answers from its worker", 1, func(p *process) { p.platform.Back.Shut() }},
+		{"a member does not reach its worker", 1, func(p *process) { p.platform.Forth.Shut() }},
 		{"a member is cut off the leader's side and its worker", 1, func(p *process) {
-			p.inbound.cut()
-			p.platform.cut()
+			p.inbound.Cut()
+			p.platform.Cut()
 		}},
 	}
 	c := newCluster(t, fast...)
@@ -91,8 +92,8 @@
 			tt.cut(victim)
 			c.eventually("no part of the gang runs", func() bool { return c.tasks(p.Token) == 0 })
 			partial := c.partialFor(p, 2*time.Second)
-			victim.inbound.heal()
-			victim.platform.heal()
+			victim.inbound.Heal()
+			victim.platform.Heal()
 			if partial {
 				t.Errorf("a part of token %d came back", p.Token)
 			}
@@ -118,10 +119,10 @@
 func TestCutHome(t *testing.T) {
 	c := newCluster(t)
 	c.putTeam(plates)
-	cuts := []func(l *link){
-		func(l *link) { l.forth.shut() },
-		func(l *link) { l.back.shut() },
-		func(l *link) { l.cut() },
+	cuts := []func(l *loopback.Link){
+		func(l *loopback.Link) { l.Forth.Shut() },
+		func(l *loopback.Link) { l.Back.Shut() },
+		func(l *loopback.Link) { l.Cut() },
 	}
 	for i, cut := range cuts {
 		body := []string{"pay 0", "pay 1", "pay 2"}[i]
@@ -129,7 +130,7 @@
 		cut(home.inbound)
 		answers := c.sendToAll(body, key)
 		first, second := <-answers, <-answers
-		home.inbound.heal()
+		home.inbound.Heal()
 		c.settle(t, key, body, first, second)
 	}
 }
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -141,10 +141,10 @@
 	if after := c.targets[0].total(); after != before {
 		t.Errorf("the leaving target got %d new requests", after-before)
 	}
-	<-c.agents[0].done
-	<-c.entries[1].done
+	<-c.agents[0].Done()
+	<-c.entries[1].Done()
 	for _, p := range []*process{c.agents[0], c.entries[1]} {
-		if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		if code := p.ExitCode(); code != 0 {
 			t.Errorf("%s ended with %d, want 0", p.name, code)
 		}
 	}
