Counters and histograms of jobs; log lines are thinned by step

Cause: on-call engineers had the process's own figures only, and a flood of one kind of line pushed others out. Change: calls, submissions, cancels, offices, passes, ends, stops, losses, waiting jobs and held accelerators by team, orders, polls and calls to the store are counted; agents serve /metrics too.

--- a/cmd/yarrowgraded/jobagent.go
+++ b/cmd/yarrowgraded/jobagent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 
 	"yarrowgrade.example/yarrowgrade/jobstore"
@@ -50,13 +51,11 @@
 	if err != nil {
 		return err
 	}
-	client := newClient(t)
-	directory := jobstore.NewDirectory(platform.NewStore(s, client).Topic(platform.OfficeTopic), t.Log)
-	r := runner.New(
-		runner.Settings{Name: s.Node, Agent: uuid.NewString(), Lease: s.Hold(), Drift: workerDrift},
-		runner.Parts{Worker: platform.NewWorker(s, client), Dispatcher: runner.NewOffice(directory, client), Logger: t.Log},
-	)
-	if _, err := serveAll(map[string]http.Handler{s.Listen.Control: platform.NewHeartbeats(r)}); err != nil {
+	directory, r := newJobAgent(s, t)
+	inner := httprouter.New()
+	inner.Handler(http.MethodGet, "/metrics", t.MetricsHandler)
+	handlers := map[string]http.Handler{s.Listen.Control: platform.NewHeartbeats(r), s.InnerAddress(innerPlace): inner}
+	if _, err := serveAll(handlers); err != nil {
 		return err
 	}
 	t.Log.Info().Str("step", "start").Str("zone", s.Zone).Str("worker", s.App).Msg("agent starts")
@@ -68,3 +67,14 @@
 	t.Log.Info().Str("step", "stop").Msg("agent stopped")
 	return nil
 }
+
+// newJobAgent returns what an agent consists of: the way to the dispatcher, and the runner.
+func newJobAgent(s *platform.Settings, t *telemetry.Telemetry) (*jobstore.Directory, *runner.Runner) {
+	client := newClient(t)
+	offices := jobstore.Metered(platform.NewStore(s, client).Topic(platform.OfficeTopic), t.Metrics)
+	directory := jobstore.NewDirectory(offices, t.Log)
+	return directory, runner.New(
+		runner.Settings{Name: s.Node, Agent: uuid.NewString(), Lease: s.Hold(), Drift: workerDrift},
+		runner.Parts{Worker: platform.NewWorker(s, client), Dispatcher: runner.NewOffice(directory, client), Logger: t.Log, Metrics: t.Metrics},
+	)
+}
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -43,7 +43,8 @@
 const drainFor = 2500 * time.Millisecond
 
 type jobEntryCommand struct {
-	LogLevel string `help:"Lowest level that is logged: trace, debug, info, warn or error." default:"info"`
+	Advertise string `help:"IP address and port at which agents and other entries reach this process, if not at its own."`
+	LogLevel  string `help:"Lowest level that is logged: trace, debug, info, warn or error." default:"info"`
 }
 
 // Help implements kong.HelpProvider.
@@ -61,13 +62,22 @@
 	if err != nil {
 		return err
 	}
-	e := newJobEntry(s, t)
+	advertised := s.InnerAddress(innerPlace)
+	if c.Advertise != "" {
+		if err := checkListen("advertise", c.Advertise); err != nil {
+			return err
+		}
+		advertised = c.Advertise
+	}
+	e := newJobEntry(s, t, advertised)
 	return e.run(ctx)
 }
 
 // jobEntry is the process of an entry.
 type jobEntry struct {
-	settings   *platform.Settings
+	settings *platform.Settings
+	// address is where others of the system reach the entry.
+	address    string
 	telemetry  *telemetry.Telemetry
 	announced  jobstore.Log
 	directory  *jobstore.Directory
@@ -79,26 +89,27 @@
 	leaving    chan struct{}
 }
 
-func newJobEntry(s *platform.Settings, t *telemetry.Telemetry) *jobEntry {
+func newJobEntry(s *platform.Settings, t *telemetry.Telemetry, address string) *jobEntry {
 	client := newClient(t)
 	store := platform.NewStore(s, client)
-	e := &jobEntry{settings: s, telemetry: t, announced: store.Topic(platform.OfficeTopic), leaving: make(chan struct{})}
+	topic := func(name string) jobstore.Log { return jobstore.Metered(store.Topic(name), t.Metrics) }
+	e := &jobEntry{settings: s, address: address, telemetry: t, announced: topic(platform.OfficeTopic), leaving: make(chan struct{})}
 	e.directory = jobstore.NewDirectory(e.announced, t.Log)
-	jobs := store.Topic(platform.JobsTopic)
+	jobs := topic(platform.JobsTopic)
 	e.replica = jobstore.NewReplica(jobs, t.Log)
-	e.catalog = catalog.NewFollower(store.Topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
+	e.catalog = catalog.NewFollower(topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
 	latency := hedge.NewLatency()
-	e.keeper = jobstore.NewKeeper(jobs, latency, e.replica, e.directory.Entries, s.InnerAddress(innerPlace), client, t.Log)
+	e.keeper = jobstore.NewKeeper(jobs, latency, e.replica, e.directory.Entries, address, client, t.Log)
 	e.intake = intake.New(intake.Settings{KeyProof: s.Revoke()}, intake.Parts{
-		Keeper: e.keeper, Replica: e.replica, Catalog: e.catalog, Logger: t.Log,
+		Keeper: e.keeper, Replica: e.replica, Catalog: e.catalog, Logger: t.Log, Metrics: t.Metrics,
 	})
 	timing := dispatch.DefaultTiming(s.Hold())
 	timing.Forget = s.Status() + time.Minute
 	e.dispatcher = dispatch.New(
-		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: s.InnerAddress(innerPlace), Timing: timing},
+		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: address, Timing: timing},
 		dispatch.Parts{
 			Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Adviser: platform.NewAdvice(s, client),
-			Latency: latency, Client: client, Peers: e.directory.Entries, Logger: t.Log,
+			Latency: latency, Client: client, Peers: e.directory.Entries, Logger: t.Log, Metrics: t.Metrics,
 		},
 	)
 	return e
@@ -118,9 +129,9 @@
 	wg.Go(func() { e.directory.Run(running) })
 	wg.Go(func() { e.dispatcher.Run(running) })
 	wg.Go(func() {
-		jobstore.AnnounceEntry(running, e.announced, e.settings.Node, e.settings.InnerAddress(innerPlace))
+		jobstore.AnnounceEntry(running, e.announced, e.settings.Node, e.address)
 	})
-	e.telemetry.Log.Info().Str("step", "start").Str("zone", e.settings.Zone).Str("address", e.settings.InnerAddress(innerPlace)).Msg("entry starts")
+	e.telemetry.Log.Info().Str("step", "start").Str("zone", e.settings.Zone).Str("address", e.address).Msg("entry starts")
 	go onHangup(running, e.telemetry.Log, make(chan struct{}))
 	<-ctx.Done()
 	e.telemetry.Log.Info().Str("step", "stop").Msg("entry leaves")
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -128,14 +128,17 @@
 	advice  *advice
 	// forecast predicts how long tasks work.
 	forecast *forecast
+	metrics  *metrics
+	// observed is when the room was noted last.
+	observed time.Time
 	// next is when the next pass is due by itself.
 	next time.Time
 }
 
-func newControl(timing Timing, parts Parts) *control {
+func newControl(timing Timing, parts Parts, m *metrics) *control {
 	return &control{
 		timing: timing, logger: parts.Logger, catalog: parts.Catalog, replica: parts.Replica, took: time.Now(),
-		advice: newAdvice(parts.Adviser, parts.Logger), forecast: newForecast(),
+		advice: newAdvice(parts.Adviser, parts.Logger), forecast: newForecast(), metrics: m,
 		jobs: map[job.ID]*tracked{}, workers: map[string]*worker{},
 	}
 }
@@ -205,9 +208,17 @@
 		}
 	}
 	d.publish(c.publications(now))
+	c.metrics.passTime.RecordDuration(time.Since(now))
+	if now.Sub(c.observed) >= observeEvery {
+		c.observed = now
+		c.metrics.observe(c)
+	}
 	return nil
 }
 
+// observeEvery is the time between two looks at the room for the metrics.
+const observeEvery = time.Second
+
 func (c *control) workerOf(name string) *worker {
 	w := c.workers[name]
 	if w == nil {
@@ -224,7 +235,7 @@
 		c.reportLife(now, w, poll)
 	}
 	for _, life := range poll.Over {
-		c.lose(w.name, life, "its life is over")
+		c.lose(w.name, life, whyLifeOver)
 		if w.life != nil && w.life.ID == life {
 			// Nothing is placed there until the next life reports.
 			w.life = nil
@@ -307,6 +318,7 @@
 		return false
 	}
 	t.dirty = true
+	c.metrics.ends.Inc(how)
 	delete(t.stopping, name)
 	c.logger.Info().Str("step", "dispatch.end").Stringer("task", name).Int("run", run).Str("how", string(how)).Msg("run ended")
 	if t.progress.Phase != before && t.progress.Phase.Final() {
@@ -320,6 +332,7 @@
 	for _, t := range c.jobs {
 		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
 			if placed.Worker == name && placed.Life == life {
+				c.metrics.lost(why)
 				c.logger.Info().Str("step", "dispatch.lose").Stringer("task", task).Int("run", placed.Run).
 					Str("worker", name).Str("why", why).Msg("run is lost")
 				c.endTask(t, task, placed.Run, life, job.EndLost, "")
@@ -345,7 +358,7 @@
 	}
 	for name := range d.sealOver(names, now, earliest) {
 		for life := range lives[name] {
-			c.lose(name, life, "its lease is over")
+			c.lose(name, life, whyLeaseOver)
 		}
 	}
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
@@ -100,15 +101,17 @@
 	// Latency is that of the log's appends, as all of this process learn it.
 	Latency *hedge.Latency
 	// Client calls other entries; Peers returns the addresses of all of them.
-	Client *http.Client
-	Peers  func() []string
-	Logger zerolog.Logger
+	Client  *http.Client
+	Peers   func() []string
+	Logger  zerolog.Logger
+	Metrics tally.Scope
 }
 
 // Dispatcher waits for the office and holds it.
 type Dispatcher struct {
 	settings Settings
 	parts    Parts
+	metrics  *metrics
 	desk     *desk
 	resign   chan struct{}
 	// offered is the newest term whose holder has offered the office to this entry.
@@ -117,7 +120,7 @@
 
 // New returns a dispatcher. Run starts it.
 func New(s Settings, p Parts) *Dispatcher {
-	return &Dispatcher{settings: s, parts: p, desk: newDesk(s.Timing), resign: make(chan struct{})}
+	return &Dispatcher{settings: s, parts: p, metrics: newMetrics(p.Metrics), desk: newDesk(s.Timing), resign: make(chan struct{})}
 }
 
 // Resign gives the office up, if it is held, and never claims it again.
@@ -142,7 +145,9 @@
 		if !ok {
 			return
 		}
+		d.metrics.offices.Inc(officeTaken)
 		err := d.hold(ctx, office)
+		d.metrics.offices.Inc(endOfOffice(err))
 		lost = office.Term
 		if errors.Is(err, errDeserted) {
 			rest = time.Now().Add(d.settings.Timing.Desertion)
@@ -151,6 +156,14 @@
 	}
 }
 
+// endOfOffice is the event by which an office ends, as it is counted.
+func endOfOffice(err error) string {
+	if errors.Is(err, errHandedOver) {
+		return officeGiven
+	}
+	return officeLost
+}
+
 // await returns when this entry holds a term above the one that it has lost. It claims none before the end of the rest.
 func (d *Dispatcher) await(ctx context.Context, lost int64, rest time.Time) (jobstore.Office, bool) {
 	drawn := d.settings.Timing.Patience + rand.N(d.settings.Timing.Patience/5)
@@ -347,7 +360,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &term{office: office, parts: d.parts, desk: d.desk, written: time.Now()}
-	c := newControl(d.settings.Timing, d.parts)
+	c := newControl(d.settings.Timing, d.parts, d.metrics)
 	if err := c.load(d.parts.Replica.All()); err != nil {
 		return err
 	}
--- /dev/null
+++ b/dispatch/metrics.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"strings"
+
+	"github.com/uber-go/tally/v4"
+
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/telemetry"
+)
+
+// metrics are a dispatcher's. Those with a team have a series for each team of the configuration.
+type metrics struct {
+	offices  telemetry.Counters[string]
+	ends     telemetry.Counters[job.Ending]
+	stops    telemetry.Counters[string]
+	losses   telemetry.Counters[string]
+	passTime tally.Histogram
+
+	scope   tally.Scope
+	workers tally.Gauge
+	free    tally.Gauge
+	waiting map[string]tally.Gauge
+	held    map[string]tally.Gauge
+}
+
+// Labels of what is counted. Stops and losses are counted by the first words of why.
+const (
+	officeTaken  = "taken"
+	officeLost   = "lost"
+	officeGiven  = "handed_over"
+	stopYields   = "yields"
+	stopStall    = "stalled"
+	stopLeaves   = "worker_leaves"
+	lossLease    = "lease_over"
+	lossLife     = "life_over"
+	whyYields    = "it yields to "
+	whyStalled   = "it stands still"
+	whyLeaseOver = "its lease is over"
+	whyLifeOver  = "its life is over"
+)
+
+func newMetrics(scope tally.Scope) *metrics {
+	m := &metrics{
+		offices: telemetry.NewCounters(scope, "offices", "event", officeTaken, officeLost, officeGiven),
+		ends: telemetry.NewCounters(scope, "runs_ended", "how", job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken,
+			job.EndAlone, job.EndLost, job.EndRefused),
+		stops:    telemetry.NewCounters(scope, "runs_stopped", "why", stopYields, stopStall, stopLeaves),
+		losses:   telemetry.NewCounters(scope, "runs_lost", "why", lossLease, lossLife),
+		passTime: telemetry.Times(scope, "pass_time"),
+		scope:    scope, workers: scope.Gauge("workers"), free: scope.Gauge("accelerators_free"),
+		waiting: map[string]tally.Gauge{}, held: map[string]tally.Gauge{},
+	}
+	// Jobs of open queues have no team.
+	m.byTeam(m.waiting, waitingName, map[string]int{"": 0})
+	m.byTeam(m.held, heldName, map[string]int{"": 0})
+	return m
+}
+
+// Names of the gauges by team.
+const (
+	waitingName = "jobs_waiting"
+	heldName    = "accelerators_held"
+)
+
+// stopped counts a run that is told to stop.
+func (m *metrics) stopped(why string) {
+	switch {
+	case strings.HasPrefix(why, whyYields):
+		m.stops.Inc(stopYields)
+	case why == whyStalled:
+		m.stops.Inc(stopStall)
+	default:
+		m.stops.Inc(stopLeaves)
+	}
+}
+
+// lost counts a run that is lost.
+func (m *metrics) lost(why string) {
+	if why == whyLeaseOver {
+		m.losses.Inc(lossLease)
+		return
+	}
+	m.losses.Inc(lossLife)
+}
+
+// observe notes the room and, by team, what waits and what is held.
+func (m *metrics) observe(c *control) {
+	free, workers := 0, 0
+	for _, w := range c.workers {
+		if w.life != nil {
+			workers++
+			free += w.life.Room.Accelerators
+		}
+	}
+	waiting, held := map[string]int{}, map[string]int{}
+	for id, t := range c.jobs {
+		if t.progress.Phase == job.Queued {
+			waiting[t.job.Team]++
+		}
+		t.progress.Placed(id, func(name job.TaskName, _ *job.Task) {
+			held[t.job.Team] += t.job.Steps[name.Step].Need.Accelerators
+			free -= t.job.Steps[name.Step].Need.Accelerators
+		})
+	}
+	m.workers.Update(float64(workers))
+	m.free.Update(float64(free))
+	m.byTeam(m.waiting, waitingName, waiting)
+	m.byTeam(m.held, heldName, held)
+}
+
+// byTeam sets a gauge for each team; one that has nothing any more is set to zero.
+func (m *metrics) byTeam(gauges map[string]tally.Gauge, name string, values map[string]int) {
+	for team := range values {
+		if gauges[team] == nil {
+			gauges[team] = m.scope.Tagged(map[string]string{"team": team}).Gauge(name)
+		}
+	}
+	for team, gauge := range gauges {
+		gauge.Update(float64(values[team]))
+	}
+}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
@@ -45,7 +46,7 @@
 	b := &bench{t: t, now: time.Now()}
 	b.control = newControl(DefaultTiming(6*time.Second), Parts{
 		Catalog: follower, Logger: zerolog.Nop(), Replica: jobstore.NewReplica(log.Client("r"), zerolog.Nop()),
-	})
+	}, newMetrics(tally.NoopScope))
 	for r := range racks {
 		for w := range perRack {
 			name := fmt.Sprintf("w%d-%d", r, w)
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -32,7 +32,7 @@
 	}
 	w.tracked.cleared[w.unit.Tasks[0]] = p.now
 	for _, r := range best {
-		p.stop(r, "it yields to "+w.unit.Tasks[0].String())
+		p.stop(r, whyYields+w.unit.Tasks[0].String())
 	}
 	if at := p.findIn(w, domain, true); at != nil {
 		p.keep(w, at)
@@ -108,6 +108,7 @@
 		return
 	}
 	r.stopping = true
+	p.c.metrics.stopped(why)
 	r.tracked.stopping[r.name] = r.run
 	r.node.later = r.node.later.Plus(r.need, 1)
 	p.c.logger.Info().Str("step", "dispatch.stop").Stringer("task", r.name).Int("run", r.run).Str("worker", r.node.name).
@@ -323,7 +324,7 @@
 				continue
 			}
 			if p.now.Sub(o.advanced) > stallAfter(step.Estimate) {
-				p.stop(r, "it stands still")
+				p.stop(r, whyStalled)
 				n.trust.certain(p.now, r.name.Job)
 			}
 		}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/job"
@@ -62,16 +63,20 @@
 	Replica *jobstore.Replica
 	Catalog *catalog.Follower
 	Logger  zerolog.Logger
+	Metrics tally.Scope
 }
 
 // Intake judges callers' calls.
 type Intake struct {
 	settings Settings
 	parts    Parts
+	metrics  metrics
 }
 
 // New returns an intake.
-func New(s Settings, p Parts) *Intake { return &Intake{settings: s, parts: p} }
+func New(s Settings, p Parts) *Intake {
+	return &Intake{settings: s, parts: p, metrics: newMetrics(p.Metrics)}
+}
 
 // Admission is a call that may be made.
 type Admission struct {
@@ -92,6 +97,7 @@
 // Admit finds the queue, the team and the job of a call.
 func (in *Intake) Admit(host, path, key string) (Admission, error) {
 	a, err := in.admit(host, path, key)
+	in.metrics.admissions.Inc(outcomeOf(err))
 	if err != nil {
 		in.parts.Logger.Info().Str("step", "intake.admit").Str("host", host).Str("path", path).Err(err).Msg("call is not admitted")
 	}
@@ -100,6 +106,7 @@
 
 func (in *Intake) admit(host, path, key string) (Admission, error) {
 	c, proof := in.parts.Catalog.Current()
+	in.metrics.proof(proof)
 	if c == nil || time.Since(proof) >= in.settings.KeyProof-keyMargin {
 		return Admission{}, ErrNotReady
 	}
@@ -139,6 +146,7 @@
 		in.refused(a, err)
 		return err
 	}
+	in.metrics.submissions.Inc(outcomeDone)
 	in.parts.Logger.Info().Str("step", "intake.submit").Str("job", string(j.ID)).Str("queue", j.Queue).Str("team", j.Team).
 		Int("steps", len(j.Steps)).Msg("job is accepted")
 	return nil
@@ -151,6 +159,7 @@
 }
 
 func (in *Intake) refused(a Admission, err error) {
+	in.metrics.submissions.Inc(outcomeOf(err))
 	in.parts.Logger.Info().Str("step", "intake.submit").Str("job", string(a.Job)).Str("queue", a.Queue.Name).Err(err).Msg("job is not accepted")
 }
 
@@ -158,9 +167,11 @@
 func (in *Intake) keep(ctx context.Context, record jobstore.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
+	began := time.Now()
 	err := in.parts.Keeper.Keep(ctx, record)
 	switch {
 	case err == nil:
+		in.metrics.keepTime.RecordDuration(time.Since(began))
 		return nil
 	case jobstore.NotDone(err):
 		return errors.Join(ErrNotReady, err)
@@ -187,6 +198,15 @@
 
 // Cancel keeps the wish to cancel a job.
 func (in *Intake) Cancel(ctx context.Context, a Admission) error {
+	err := in.cancel(ctx, a)
+	in.metrics.cancels.Inc(outcomeOf(err))
+	if err != nil {
+		in.parts.Logger.Info().Str("step", "intake.cancel").Str("job", string(a.Job)).Err(err).Msg("cancel is not kept")
+	}
+	return err
+}
+
+func (in *Intake) cancel(ctx context.Context, a Admission) error {
 	if err := a.Job.Validate(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/intake/metrics.go
@@ -0,0 +1,64 @@
+package intake
+
+import (
+	"errors"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"yarrowgrade.example/yarrowgrade/fault"
+	"yarrowgrade.example/yarrowgrade/telemetry"
+)
+
+// outcome is what a caller is told, as it is counted.
+type outcome string
+
+const (
+	outcomeDone         outcome = "done"
+	outcomeNotReady     outcome = "not_ready"
+	outcomeUnknownQueue outcome = "unknown_queue"
+	outcomeUnknownKey   outcome = "unknown_key"
+	outcomeUnknownJob   outcome = "unknown_job"
+	outcomeBadInput     outcome = "bad_input"
+	outcomeUncertain    outcome = "uncertain"
+)
+
+func outcomeOf(err error) outcome {
+	var field *fault.Field
+	switch {
+	case err == nil:
+		return outcomeDone
+	case errors.As(err, &field):
+		return outcomeBadInput
+	case errors.Is(err, ErrNotReady):
+		return outcomeNotReady
+	case errors.Is(err, ErrUnknownQueue):
+		return outcomeUnknownQueue
+	case errors.Is(err, ErrUnknownKey):
+		return outcomeUnknownKey
+	case errors.Is(err, ErrUnknownJob):
+		return outcomeUnknownJob
+	}
+	return outcomeUncertain
+}
+
+// metrics are an intake's.
+type metrics struct {
+	admissions, submissions, cancels telemetry.Counters[outcome]
+	keepTime                         tally.Histogram
+	configAge                        tally.Gauge
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	counters := func(name string) telemetry.Counters[outcome] {
+		return telemetry.NewCounters(scope, name, "outcome", outcomeDone, outcomeNotReady, outcomeUnknownQueue, outcomeUnknownKey,
+			outcomeUnknownJob, outcomeBadInput, outcomeUncertain)
+	}
+	return metrics{
+		admissions: counters("calls_admitted"), submissions: counters("jobs_submitted"), cancels: counters("jobs_cancelled"),
+		keepTime: telemetry.Times(scope, "record_keep_time"), configAge: scope.Gauge("configuration_proof_age_seconds"),
+	}
+}
+
+// proof notes how old the proof of the configuration is that a call is judged by.
+func (m metrics) proof(at time.Time) { m.configAge.Update(time.Since(at).Seconds()) }
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -53,6 +53,7 @@
 	attempt, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
 	listing, clock, err := r.parts.Worker.Hold(attempt, order, until, seen, wait)
+	r.metrics.holds.Inc(outcomeOf(err))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if generation != r.generation {
@@ -119,6 +120,7 @@
 				e.TookMillis = k.age().Milliseconds()
 			}
 			r.ends[e.Number] = e
+			r.metrics.ends.Inc(e.How)
 			news = true
 			r.parts.Logger.Info().Str("step", "runner.list").Stringer("task", e.Task).Int("run", e.Run).Str("how", string(e.How)).
 				Int64("number", e.Number).Msg("run ended")
--- /dev/null
+++ b/runner/metrics.go
@@ -0,0 +1,52 @@
+package runner
+
+import (
+	"errors"
+
+	"github.com/uber-go/tally/v4"
+
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/telemetry"
+)
+
+// outcome is what came of an order to the worker, or of a poll, as it is counted.
+type outcome string
+
+const (
+	outcomeDone      outcome = "done"
+	outcomeOtherLife outcome = "other_life"
+	outcomeFenced    outcome = "fenced"
+	outcomeRefused   outcome = "refused"
+	outcomeNone      outcome = "no_answer"
+)
+
+func outcomeOf(err error) outcome {
+	switch {
+	case err == nil:
+		return outcomeDone
+	case errors.Is(err, ErrOtherLife):
+		return outcomeOtherLife
+	case errors.Is(err, ErrFenced):
+		return outcomeFenced
+	case errors.Is(err, ErrOld), errors.Is(err, ErrLate), errors.Is(err, ErrNoRoom), errors.Is(err, ErrBusy), errors.Is(err, ErrRejected):
+		return outcomeRefused
+	}
+	return outcomeNone
+}
+
+// metrics are a runner's.
+type metrics struct {
+	starts, stops, holds, polls telemetry.Counters[outcome]
+	ends                        telemetry.Counters[job.Ending]
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	counters := func(name string) telemetry.Counters[outcome] {
+		return telemetry.NewCounters(scope, name, "outcome", outcomeDone, outcomeOtherLife, outcomeFenced, outcomeRefused, outcomeNone)
+	}
+	return metrics{
+		starts: counters("starts_ordered"), stops: counters("stops_ordered"), holds: counters("holds"), polls: counters("polls"),
+		ends: telemetry.NewCounters(scope, "ends_listed", "how", job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken,
+			job.EndAlone),
+	}
+}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -48,6 +48,7 @@
 		attempt, cancel := context.WithTimeout(ctx, callTimeout)
 		clock, err := r.parts.Worker.Start(attempt, order, s, until)
 		cancel()
+		r.metrics.starts.Inc(outcomeOf(err))
 		if r.settleStart(ctx, s, generation, clock, err, &busy) {
 			return
 		}
@@ -150,6 +151,7 @@
 		attempt, cancel := context.WithTimeout(ctx, callTimeout)
 		clock, err := r.parts.Worker.Stop(attempt, order, id)
 		cancel()
+		r.metrics.stops.Inc(outcomeOf(err))
 		r.mu.Lock()
 		if generation != r.generation {
 			r.mu.Unlock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/job"
@@ -36,6 +37,7 @@
 	Worker     Worker
 	Dispatcher Dispatcher
 	Logger     zerolog.Logger
+	Metrics    tally.Scope
 }
 
 // Pace of a runner.
@@ -93,6 +95,7 @@
 type Runner struct {
 	settings Settings
 	parts    Parts
+	metrics  metrics
 
 	mu   sync.Mutex
 	life *assignment.Life
@@ -131,7 +134,7 @@
 // New returns a runner. Run starts it.
 func New(s Settings, p Parts) *Runner {
 	r := &Runner{
-		settings: s, parts: p, former: map[string]bool{}, over: map[string]int64{},
+		settings: s, parts: p, metrics: newMetrics(p.Metrics), former: map[string]bool{}, over: map[string]int64{},
 		report: make(chan struct{}, 1), extend: make(chan struct{}, 1), sharing: make(chan struct{}, 1), work: conc.NewWaitGroup(),
 	}
 	r.reset()
@@ -226,6 +229,7 @@
 		attempt, cancel := context.WithTimeout(ctx, pollTimeout)
 		answer, err := r.parts.Dispatcher.Poll(attempt, poll)
 		cancel()
+		r.metrics.polls.Inc(outcomeOf(err))
 		if err != nil {
 			pause(ctx, retryPause)
 			if news != nil {
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,46 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// other is the label of values that were not known beforehand: the number of series stays bounded.
+const other = "other"
+
+// Counters is one counter for each value of a label.
+type Counters[L ~string] struct {
+	counters map[L]tally.Counter
+	other    tally.Counter
+}
+
+// NewCounters registers a counter for each of the values, and one for all others.
+func NewCounters[L ~string](scope tally.Scope, name, label string, values ...L) Counters[L] {
+	c := Counters[L]{counters: make(map[L]tally.Counter, len(values)), other: labelled(scope, name, label, other)}
+	for _, v := range values {
+		c.counters[v] = labelled(scope, name, label, string(v))
+	}
+	return c
+}
+
+func labelled(scope tally.Scope, name, label, value string) tally.Counter {
+	return scope.Tagged(map[string]string{label: value}).Counter(name)
+}
+
+// Inc counts one.
+func (c Counters[L]) Inc(value L) { c.Add(value, 1) }
+
+// Add counts n.
+func (c Counters[L]) Add(value L, n int) {
+	counter, ok := c.counters[value]
+	if !ok {
+		counter = c.other
+	}
+	counter.Inc(int64(n))
+}
+
+// Times registers a histogram of times between a millisecond and 8 s.
+func Times(scope tally.Scope, name string) tally.Histogram {
+	return scope.Histogram(name, tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14))
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -118,6 +118,9 @@
 		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
 	}, reportInterval)
 	t.Metrics = scope
+	if w, ok := s.Log.(*Writer); ok {
+		w.Count(scope.Counter("log_lines_left_out"))
+	}
 	t.MetricsHandler = reporter.HTTPHandler()
 	t.closers = append(t.closers, func(context.Context) error { return closer.Close() })
 }
--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -6,35 +6,74 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // bufferedLines bounds what waits to be written: some 300 KB of lines.
 const bufferedLines = 1024
 
 // Writer hands log lines to another writer in the background. It never blocks: when the other side does not take them, as a
-// pipe that nobody reads, lines are left out, and the next line that is written says how many.
+// pipe that nobody reads, lines are left out, and the next line that is written says how many. Steps that write very many
+// lines are thinned, and what was left out of each is told.
 type Writer struct {
 	lines chan []byte
 	lost  atomic.Int64
-	done  chan struct{}
-	once  sync.Once
+	// left counts all lines that were left out, and counter is where they are counted too, if that is set.
+	left    atomic.Int64
+	counter atomic.Pointer[tally.Counter]
+	done    chan struct{}
+	once    sync.Once
+
+	mu   sync.Mutex
+	thin *thinner
 }
 
 // NewWriter returns a writer in front of w.
 func NewWriter(w io.Writer) *Writer {
-	b := &Writer{lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	b := &Writer{lines: make(chan []byte, bufferedLines), done: make(chan struct{}), thin: newThinner()}
 	go b.run(w)
 	return b
 }
 
+// Left is how many lines have been left out so far.
+func (b *Writer) Left() int64 { return b.left.Load() }
+
+// Count lets the lines that are left out be counted by a counter too.
+func (b *Writer) Count(c tally.Counter) { b.counter.Store(&c) }
+
+func (b *Writer) leave() {
+	b.left.Add(1)
+	if c := b.counter.Load(); c != nil {
+		(*c).Inc(1)
+	}
+}
+
 // Write implements io.Writer. It always takes the whole line, or leaves it out.
 func (b *Writer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	told := b.thin.next(time.Now())
+	keeps := b.thin.keeps(line)
+	b.mu.Unlock()
+	for step, n := range told {
+		b.put(fmt.Appendf(nil, "time=%s level=warn event=\"log lines thinned\" step=%s count=%d\n", time.Now().Format(time.RFC3339Nano), step, n))
+	}
+	if !keeps {
+		b.leave()
+		return len(line), nil
+	}
+	b.put(append([]byte(nil), line...))
+	return len(line), nil
+}
+
+// put hands a line to the background, or leaves it out.
+func (b *Writer) put(line []byte) {
 	select {
-	case b.lines <- append([]byte(nil), line...):
+	case b.lines <- line:
 	default:
 		b.lost.Add(1)
+		b.leave()
 	}
-	return len(line), nil
 }
 
 func (b *Writer) run(w io.Writer) {
