A fault soak of real processes

cmd/soak runs job-entry and job-agent as processes against platform/standin, which plays the users' platform over HTTP: links around each process are cut one way or both, slowed and reset; processes are paused, killed, stopped as planned, reloaded, all killed at once, and flap; the store is down, slow, loses answers; workers crash, leave, are silent and late.

--- /dev/null
+++ b/cmd/soak/cluster.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+	"yarrowgrade.example/yarrowgrade/loopback"
+	"yarrowgrade.example/yarrowgrade/platform/standin"
+)
+
+// Bounds that the processes are given, those of the users' sites.
+const (
+	lease  = 6 * time.Second
+	revoke = 5 * time.Second
+	grace  = 6 * time.Second
+)
+
+// Shape of a day's configuration.
+const (
+	service  = "roster"
+	host     = "queues.example"
+	keptKey  = "key-kept"
+	takenKey = "key-taken"
+	rackSize = 3
+)
+
+// queues are the priorities that jobs are handed in with; prefix is that of a queue's path.
+const queues = 3
+
+func prefix(queue int) string { return fmt.Sprintf("/q%d/", queue) }
+
+// box is a process with the links around it.
+type box struct {
+	name    string
+	process *loopback.Process
+	// inbound carries what agents and entries send to an entry; store carries what the process sends to the store, and
+	// worker what an agent sends to its worker.
+	inbound, store, worker *loopback.Link
+	// callers is where an entry takes callers' calls.
+	callers string
+}
+
+// links are all links of the box.
+func (b *box) links() []*loopback.Link {
+	var all []*loopback.Link
+	for _, l := range []*loopback.Link{b.inbound, b.store, b.worker} {
+		if l != nil {
+			all = append(all, l)
+		}
+	}
+	return all
+}
+
+// cluster is the system of a day.
+type cluster struct {
+	settings settings
+	platform *standin.Platform
+	store    string
+	entries  []*box
+	agents   []*box
+	workers  []*jobtest.Worker
+	logs     string
+	closers  []func()
+}
+
+// newCluster starts the platform and all processes. Close ends them also after an error.
+func newCluster(ctx context.Context, s settings, seed uint64, logs string) (*cluster, error) {
+	c := &cluster{settings: s, platform: standin.New(seed), logs: logs}
+	address, err := c.serve(c.platform.Store())
+	if err != nil {
+		return c, err
+	}
+	c.store = address
+	c.platform.Workers.FailureShare = 0.03
+	go c.platform.Workers.Run(ctx)
+	if err := c.platform.PutConfig(ctx, config(1, keptKey, takenKey)); err != nil {
+		return c, err
+	}
+	for i := range s.Entries {
+		if err := c.addEntry(i); err != nil {
+			return c, err
+		}
+	}
+	for i := range s.Workers {
+		if err := c.addAgent(ctx, i); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// config is a configuration with the keys.
+func config(version int64, keys ...string) standin.Config {
+	c := standin.Config{Version: version, Teams: []standin.Team{{Name: "team", Keys: keys, Guaranteed: 16}}}
+	for q := range queues {
+		c.Queues = append(c.Queues, standin.Queue{
+			Name: fmt.Sprintf("queue-%d", q), Host: host, Prefix: prefix(q), Service: service, Priority: q, Attempts: 4,
+		})
+	}
+	return c
+}
+
+// serve serves a handler on loopback until the cluster is closed.
+func (c *cluster) serve(h http.Handler) (address string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	c.closers = append(c.closers, func() { server.Close() })
+	return l.Addr().String(), nil
+}
+
+// link returns a link to an address that ends with the cluster.
+func (c *cluster) link(to string) (*loopback.Link, error) {
+	l, err := loopback.NewLink()
+	if err != nil {
+		return nil, err
+	}
+	l.Lead(to)
+	c.closers = append(c.closers, l.Close)
+	return l, nil
+}
+
+func (c *cluster) addEntry(i int) error {
+	addresses, err := loopback.FreeAddresses(3)
+	if err != nil {
+		return err
+	}
+	b := &box{name: fmt.Sprintf("entry-%d", i), callers: addresses[1]}
+	if b.inbound, err = c.link(addresses[0]); err != nil {
+		return err
+	}
+	if b.store, err = c.link(c.store); err != nil {
+		return err
+	}
+	boot := standin.Boot{Callers: addresses[1], Ready: addresses[2]}
+	if err := c.launch(b, boot, addresses[0], "job-entry", "--advertise", b.inbound.Address()); err != nil {
+		return err
+	}
+	c.entries = append(c.entries, b)
+	return nil
+}
+
+func (c *cluster) addAgent(ctx context.Context, i int) error {
+	addresses, err := loopback.FreeAddresses(2)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("worker-%d", i)
+	room := job.Need{CPU: 16_000, Memory: 64_000, Accelerators: 8}
+	w := c.platform.Workers.Add(name, service, fmt.Sprintf("rack-%d", i/rackSize), room, "a")
+	c.workers = append(c.workers, w)
+	at, err := c.serve(standin.Worker(w))
+	if err != nil {
+		return err
+	}
+	b := &box{name: name}
+	if b.worker, err = c.link(at); err != nil {
+		return err
+	}
+	if b.store, err = c.link(c.store); err != nil {
+		return err
+	}
+	boot := standin.Boot{Heartbeats: addresses[1], Worker: b.worker.Address()}
+	if err := c.launch(b, boot, addresses[0], "job-agent"); err != nil {
+		return err
+	}
+	go standin.Beat(ctx, w, addresses[1])
+	c.agents = append(c.agents, b)
+	return nil
+}
+
+// launch writes the settings of a process and starts it.
+func (c *cluster) launch(b *box, boot standin.Boot, inner string, args ...string) error {
+	ip, port, err := net.SplitHostPort(inner)
+	if err != nil {
+		return err
+	}
+	boot.IP, boot.Node, boot.Zone, boot.Store = ip, b.name, "zone", b.store.Address()
+	if boot.Port, err = strconv.Atoi(port); err != nil {
+		return err
+	}
+	boot.Lease, boot.Revoke, boot.Grace = lease, revoke, grace
+	data, err := boot.Encode()
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(c.logs, b.name+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	b.process = &loopback.Process{
+		Path: c.settings.Program, Args: args, Env: []string{standin.SettingsVariable + "=" + file}, Log: filepath.Join(c.logs, b.name+".log"),
+	}
+	return b.process.Start()
+}
+
+// all are all processes with their links.
+func (c *cluster) all() []*box { return append(append([]*box{}, c.entries...), c.agents...) }
+
+// heal ends all faults: links, workers, the store, and processes that are paused or have ended.
+func (c *cluster) heal() error {
+	c.platform.SetFault(jobtest.Fault{})
+	for _, w := range c.workers {
+		w.Heal()
+	}
+	for _, b := range c.all() {
+		for _, l := range b.links() {
+			l.Heal()
+		}
+		if err := b.process.Signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+		select {
+		case <-b.process.Done():
+			if err := b.process.Start(); err != nil {
+				return err
+			}
+		default:
+		}
+	}
+	return nil
+}
+
+// close ends all processes that the cluster has started, and what serves them.
+func (c *cluster) close() {
+	for _, b := range c.all() {
+		b.process.Kill()
+	}
+	for _, f := range c.closers {
+		f()
+	}
+}
--- /dev/null
+++ b/cmd/soak/day.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// Times of a day.
+const (
+	startTimeout  = 30 * time.Second
+	jobPause      = 800 * time.Millisecond
+	faultPause    = 1500 * time.Millisecond
+	settleTimeout = 90 * time.Second
+	pollPause     = 200 * time.Millisecond
+	// revokeSlack is added to the time after which a key that was taken away must not work any more: the clock of this
+	// process says when a call was sent, not when it arrived.
+	revokeSlack = 100 * time.Millisecond
+	keyPause    = 250 * time.Millisecond
+)
+
+// report is what a day came to.
+type report struct {
+	planned                    bool
+	accepted, refused, doubted int
+	starts                     int
+	struck, broken             []string
+}
+
+// summary is the report in one line.
+func (r report) summary() string {
+	kind := "faults"
+	if r.planned {
+		kind = "planned work"
+	}
+	return fmt.Sprintf("%d %s, %d jobs accepted, %d refused, %d in doubt, %d runs, %d broken",
+		len(r.struck), kind, r.accepted, r.refused, r.doubted, r.starts, len(r.broken))
+}
+
+// day is one day of the soak.
+type day struct {
+	settings settings
+	cluster  *cluster
+	callers  *callers
+	striker  *striker
+	random   *rand.Rand
+	broken   []string
+}
+
+// errNotUp says that the processes did not come up.
+var errNotUp = errors.New("the system does not serve after its start")
+
+// playDay plays one day. In every fourth one only planned work strikes, and then nothing may be cut or held.
+func playDay(ctx context.Context, s settings, seed uint64, logs string) (report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c, err := newCluster(ctx, s, seed, logs)
+	defer c.close()
+	if err != nil {
+		return report{}, err
+	}
+	planned := seed%4 == 0
+	d := &day{
+		settings: s, cluster: c, random: rand.New(rand.NewPCG(seed, 1)),
+		callers: newCallers(c, rand.New(rand.NewPCG(seed, 2)), planned),
+		striker: &striker{cluster: c, random: rand.New(rand.NewPCG(seed, 3)), planned: planned},
+	}
+	if !d.servesWithin(ctx, startTimeout) {
+		return report{}, errNotUp
+	}
+	d.play(ctx)
+	if err := c.heal(); err != nil {
+		return report{}, err
+	}
+	d.settle(ctx)
+	d.check(ctx)
+	return d.report(), ctx.Err()
+}
+
+// servesWithin waits until all entries say that they know no job of some ID.
+func (d *day) servesWithin(ctx context.Context, limit time.Duration) bool {
+	for began := time.Now(); time.Since(began) < limit && ctx.Err() == nil; time.Sleep(pollPause) {
+		ready := true
+		for i := range d.cluster.entries {
+			if _, a := d.callers.caller(i, keptKey).State(ctx, prefix(0), "ffffffffffffffff"); a.Status < 400 || a.Status >= 500 {
+				ready = false
+			}
+		}
+		if ready {
+			return true
+		}
+	}
+	return false
+}
+
+// play lets callers and faults go on for the length of the day, side by side.
+func (d *day) play(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Length)
+	defer cancel()
+	done := make(chan struct{}, 3)
+	begin := func(f func(context.Context)) {
+		go func() {
+			f(ctx)
+			done <- struct{}{}
+		}()
+	}
+	begin(d.handIn)
+	begin(d.disturb)
+	begin(d.revoke)
+	for range cap(done) {
+		<-done
+	}
+	d.striker.wait.Wait()
+}
+
+// handIn hands jobs in, each by itself, and cancels some.
+func (d *day) handIn(ctx context.Context) {
+	var open []chan struct{}
+	for ctx.Err() == nil {
+		j, queue := d.callers.drawJob()
+		first, cancelled := d.random.IntN(len(d.cluster.entries)), d.random.IntN(10) == 0
+		done := make(chan struct{})
+		open = append(open, done)
+		go func() {
+			defer close(done)
+			// A job that has been begun is seen through also when the day's time is over.
+			whole := context.WithoutCancel(ctx)
+			d.callers.submit(whole, j, queue, first)
+			if cancelled {
+				d.callers.cancel(whole, j.ID, queue, first)
+			}
+		}()
+		pause(ctx, time.Duration(d.random.Int64N(int64(jobPause))))
+	}
+	for _, done := range open {
+		<-done
+	}
+}
+
+func (d *day) disturb(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(d.striker.random.Int64N(int64(faultPause))))
+		if ctx.Err() == nil {
+			d.striker.strike()
+		}
+	}
+}
+
+// revoke takes a key away early in the day, and tries it on until the end.
+func (d *day) revoke(ctx context.Context) {
+	pause(ctx, d.settings.Length/8)
+	if err := d.cluster.platform.PutConfig(context.WithoutCancel(ctx), config(2, keptKey)); err != nil {
+		d.broken = append(d.broken, fmt.Sprintf("the configuration is not taken: %v", err))
+		return
+	}
+	acknowledged := time.Now()
+	for ctx.Err() == nil {
+		pause(ctx, keyPause)
+		for i := range d.cluster.entries {
+			sent := time.Now()
+			_, a := d.callers.caller(i, takenKey).State(ctx, prefix(0), "ffffffffffffffff")
+			// A job that is not known is an answer under the key; a key that is not known is another one.
+			under := a.Accepted() || a.Status == statusUnknownJob
+			if late := sent.Sub(acknowledged); under && late > revoke+revokeSlack {
+				d.broken = append(d.broken, fmt.Sprintf("CONFIG: entry-%d takes a call under a key %v after it was taken away", i, late))
+			}
+		}
+	}
+}
+
+// statusUnknownJob is what an entry answers when it knows no such job.
+const statusUnknownJob = 410
+
+// settle waits until all accepted jobs have ended, as every entry says.
+func (d *day) settle(ctx context.Context) {
+	for began := time.Now(); time.Since(began) < settleTimeout && ctx.Err() == nil; time.Sleep(pollPause) {
+		if len(d.unsettled(ctx)) == 0 {
+			return
+		}
+	}
+}
+
+// unsettled lists the accepted jobs that some entry does not say have ended.
+func (d *day) unsettled(ctx context.Context) []string {
+	var open []string
+	for id := range d.callers.accepted {
+		for i := range d.cluster.entries {
+			state, a := d.callers.caller(i, keptKey).State(ctx, prefix(d.callers.queueOf[id]), id)
+			if !ended(state) {
+				open = append(open, fmt.Sprintf("LOST: entry-%d says of accepted job %s: %q (status %d, %v)", i, id, state, a.Status, a.Err))
+			}
+		}
+	}
+	return open
+}
+
+func ended(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
+}
+
+// check compares what callers were told with what the workers saw.
+func (d *day) check(ctx context.Context) {
+	d.broken = append(d.broken, d.unsettled(ctx)...)
+	workers := d.cluster.platform.Workers
+	d.broken = append(d.broken, workers.Report()...)
+	for id, surely := range d.callers.refused {
+		if surely && workers.EverRan(id) {
+			d.broken = append(d.broken, fmt.Sprintf("REFUSED: %s ran, but every try to hand it in was refused", id))
+		}
+	}
+	for id := range d.callers.accepted {
+		d.checkEnd(ctx, id)
+	}
+}
+
+func (d *day) checkEnd(ctx context.Context, id job.ID) {
+	workers := d.cluster.platform.Workers
+	state, _ := d.callers.caller(0, keptKey).State(ctx, prefix(d.callers.queueOf[id]), id)
+	switch {
+	case state == "completed" && !workers.AllDone(id):
+		d.broken = append(d.broken, fmt.Sprintf("MIXED: job %s is completed, and not all of its tasks have ended so", id))
+	case state == "cancelled" && !d.callers.cancelled[id]:
+		d.broken = append(d.broken, fmt.Sprintf("LOST: job %s is cancelled, and nobody asked for it", id))
+	case ended(state) && workers.AnyRun(id):
+		d.broken = append(d.broken, fmt.Sprintf("MIXED: job %s is %s and still runs", id, state))
+	}
+}
+
+func (d *day) report() report {
+	r := report{
+		planned: d.striker.planned, accepted: len(d.callers.accepted), starts: d.cluster.platform.Workers.Starts, struck: d.striker.struck,
+	}
+	for _, surely := range d.callers.refused {
+		if surely {
+			r.refused++
+		} else {
+			r.doubted++
+		}
+	}
+	r.broken = append(append(append(r.broken, d.broken...), d.striker.broken...), d.callers.broken...)
+	return r
+}
+
+// pause waits, or returns early when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/cmd/soak/faults.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/jobtest"
+	"yarrowgrade.example/yarrowgrade/loopback"
+)
+
+// striker draws faults and lets them strike a cluster. Faults overlap: each ends by itself after its time.
+type striker struct {
+	cluster *cluster
+	random  *rand.Rand
+	// planned restricts the faults to what operators do on purpose.
+	planned bool
+
+	mu     sync.Mutex
+	struck []string
+	broken []string
+	wait   sync.WaitGroup
+}
+
+// Times of a fault.
+const (
+	shortestFault = time.Second
+	longestFault  = 7 * time.Second
+	// bounceFor is how long a process that was killed stays away at most.
+	bounceFor = 2 * time.Second
+	// stopSlack is added to the time that a planned stop may take.
+	stopSlack = time.Second
+)
+
+// strike lets the next fault strike.
+func (s *striker) strike() {
+	length := shortestFault + time.Duration(s.random.Int64N(int64(longestFault-shortestFault)))
+	if s.planned {
+		s.strikePlanned(length)
+		return
+	}
+	b := s.anyBox()
+	switch s.random.IntN(12) {
+	case 0, 1:
+		s.linkFault(b, length)
+	case 2:
+		s.storeFault(length)
+	case 3:
+		s.pauseProcess(b, length)
+	case 4, 5:
+		s.killProcess(b)
+	case 6:
+		s.stopProcess(b)
+	case 7:
+		s.note("hangup of %s", b.name)
+		_ = b.process.Signal(syscall.SIGHUP)
+	case 8, 9:
+		s.workerFault(length)
+	case 10:
+		s.killAll()
+	case 11:
+		s.flap(b)
+	}
+}
+
+// strikePlanned is a stop or a reload.
+func (s *striker) strikePlanned(time.Duration) {
+	b := s.anyBox()
+	if s.random.IntN(3) == 0 {
+		s.note("hangup of %s", b.name)
+		_ = b.process.Signal(syscall.SIGHUP)
+		return
+	}
+	s.stopProcess(b)
+}
+
+func (s *striker) anyBox() *box {
+	all := s.cluster.all()
+	if s.random.IntN(2) == 0 {
+		return s.cluster.entries[s.random.IntN(len(s.cluster.entries))]
+	}
+	return all[s.random.IntN(len(all))]
+}
+
+func (s *striker) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.struck = append(s.struck, fmt.Sprintf(format, args...))
+}
+
+func (s *striker) breaks(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = append(s.broken, fmt.Sprintf(format, args...))
+}
+
+// later runs the end of a fault after its time. The day waits for it.
+func (s *striker) later(after time.Duration, end func()) {
+	s.wait.Add(1)
+	time.AfterFunc(after, func() {
+		defer s.wait.Done()
+		end()
+	})
+}
+
+// linkFault cuts, slows down or resets one of the links around a box.
+func (s *striker) linkFault(b *box, length time.Duration) {
+	links := b.links()
+	l := links[s.random.IntN(len(links))]
+	kinds := []struct {
+		name   string
+		strike func(*loopback.Link)
+	}{
+		{"cut", (*loopback.Link).Cut},
+		{"cut one way", func(l *loopback.Link) { l.Forth.Shut() }},
+		{"cut the other way", func(l *loopback.Link) { l.Back.Shut() }},
+		{"slow", func(l *loopback.Link) { l.Back.Slow(300 * time.Millisecond) }},
+		{"reset", (*loopback.Link).Reset},
+	}
+	kind := kinds[s.random.IntN(len(kinds))]
+	s.note("link of %s %s for %v", b.name, kind.name, length)
+	kind.strike(l)
+	s.later(length, l.Heal)
+}
+
+// storeFault lets the store treat everybody badly.
+func (s *striker) storeFault(length time.Duration) {
+	faults := []jobtest.Fault{
+		{Silent: true}, {Refuse: true}, {Reset: true}, {Delay: 250 * time.Millisecond}, {Lost: 0.4}, {Lost: 0.4, Late: true},
+	}
+	f := faults[s.random.IntN(len(faults))]
+	s.note("store %+v for %v", f, length)
+	s.cluster.platform.SetFault(f)
+	s.later(length, func() { s.cluster.platform.SetFault(jobtest.Fault{}) })
+}
+
+func (s *striker) pauseProcess(b *box, length time.Duration) {
+	s.note("%s paused for %v", b.name, length)
+	_ = b.process.Signal(syscall.SIGSTOP)
+	s.later(length, func() { _ = b.process.Signal(syscall.SIGCONT) })
+}
+
+// killProcess kills a process; it starts again a while later.
+func (s *striker) killProcess(b *box) {
+	away := time.Duration(s.random.Int64N(int64(bounceFor)))
+	s.note("%s killed, back after %v", b.name, away)
+	b.process.Kill()
+	s.later(away, func() { s.start(b) })
+}
+
+// start starts a process that has ended.
+func (s *striker) start(b *box) {
+	select {
+	case <-b.process.Done():
+	default:
+		return
+	}
+	if err := b.process.Start(); err != nil {
+		s.breaks("%s does not start: %v", b.name, err)
+	}
+}
+
+// stopProcess stops a process as planned, and starts it again once it has ended. It must end by itself in time.
+func (s *striker) stopProcess(b *box) {
+	s.note("%s stopped as planned", b.name)
+	_ = b.process.Signal(syscall.SIGCONT)
+	done := b.process.Done()
+	_ = b.process.Signal(syscall.SIGTERM)
+	s.wait.Add(1)
+	go func() {
+		defer s.wait.Done()
+		select {
+		case <-done:
+			s.start(b)
+		case <-time.After(grace + stopSlack):
+			if s.planned {
+				s.breaks("STOP: %s has not ended %v after SIGTERM", b.name, grace+stopSlack)
+			}
+			b.process.Kill()
+			s.start(b)
+		}
+	}()
+}
+
+// flap kills a process three times in a row, as soon as it has started again.
+func (s *striker) flap(b *box) {
+	s.note("%s flaps", b.name)
+	s.wait.Add(1)
+	go func() {
+		defer s.wait.Done()
+		for range 3 {
+			b.process.Kill()
+			s.start(b)
+			time.Sleep(300 * time.Millisecond)
+		}
+	}()
+}
+
+// killAll kills all processes of the system at once, as a loss of power does.
+func (s *striker) killAll() {
+	away := time.Duration(s.random.Int64N(int64(bounceFor)))
+	s.note("all processes killed, back after %v", away)
+	for _, b := range s.cluster.all() {
+		done := b.process.Done()
+		_ = b.process.Signal(syscall.SIGKILL)
+		s.later(away, func() {
+			<-done
+			s.start(b)
+		})
+	}
+}
+
+// workerFault strikes one of the workers.
+func (s *striker) workerFault(length time.Duration) {
+	n := s.random.IntN(len(s.cluster.workers))
+	w := s.cluster.workers[n]
+	kinds := []struct {
+		name   string
+		strike func()
+	}{
+		{"crashes", func() { w.Crash(length) }},
+		{"leaves", func() { w.Leave(length) }},
+		{"is silent", func() {
+			w.SetUnreachable(true)
+			s.later(length, func() { w.SetUnreachable(false) })
+		}},
+		{"carries orders out late", func() {
+			w.SetLate(0.3)
+			s.later(length, func() { w.SetLate(0) })
+		}},
+	}
+	kind := kinds[s.random.IntN(len(kinds))]
+	s.note("worker %d %s for %v", n, kind.name, length)
+	kind.strike()
+}
