Three failures provoked in real processes, and what the trace of each shows

Cause: docs/OPERATIONS.md showed how to get from a job's id to its cause, but no test provoked the failures. Boxes of the soak took free ports, which other tests on the machine could take in between.

Change: cmd/soak/explain_test.go provokes a refused job, one that ran again, and a caller without an answer, and reads the lines with the client's trace. Each box of the soak has a loopback address of its own. Values that come as JSON are unquoted once before they are quoted in a line.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -132,20 +133,38 @@
 	return l, nil
 }
 
-func (c *cluster) addEntry(i int) error {
-	addresses, err := loopback.FreeAddresses(3)
-	if err != nil {
-		return err
-	}
-	b := &box{name: fmt.Sprintf("entry-%d", i), callers: addresses[1]}
-	if b.inbound, err = c.link(addresses[0]); err != nil {
+// Ports of a process at its own address.
+const (
+	innerPort = 7000 + iota
+	callersPort
+	readyPort
+	heartbeatsPort
+)
+
+// boxes counts the boxes that this process has started.
+var boxes atomic.Int64
+
+// nextIP returns a loopback address of its own for a box, so that its ports can't be taken by anybody else: one network of
+// 127.0.0.0/8 for each process that plays days, and its addresses in turn.
+func nextIP() string {
+	const perNetwork = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid/perNetwork%200, pid%perNetwork, 1+boxes.Add(1)%perNetwork)
+}
+
+func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
+func (c *cluster) addEntry(i int) (err error) {
+	ip := nextIP()
+	b := &box{name: fmt.Sprintf("entry-%d", i), callers: at(ip, callersPort)}
+	if b.inbound, err = c.link(at(ip, innerPort)); err != nil {
 		return err
 	}
 	if b.store, err = c.link(c.store); err != nil {
 		return err
 	}
-	boot := standin.Boot{Callers: addresses[1], Ready: addresses[2]}
-	if err := c.launch(b, boot, addresses[0], "job-entry", "--advertise", b.inbound.Address()); err != nil {
+	boot := standin.Boot{IP: ip, Port: innerPort, Callers: b.callers, Ready: at(ip, readyPort)}
+	if err := c.launch(b, boot, "job-entry", "--advertise", b.inbound.Address()); err != nil {
 		return err
 	}
 	c.entries = append(c.entries, b)
@@ -153,44 +172,34 @@
 }
 
 func (c *cluster) addAgent(ctx context.Context, i int) error {
-	addresses, err := loopback.FreeAddresses(2)
-	if err != nil {
-		return err
-	}
+	ip := nextIP()
 	name := fmt.Sprintf("worker-%d", i)
 	room := job.Need{CPU: 16_000, Memory: 64_000, Accelerators: 8}
 	w := c.platform.Workers.Add(name, service, fmt.Sprintf("rack-%d", i/rackSize), room, "a")
 	c.workers = append(c.workers, w)
-	at, err := c.serve(standin.Worker(w))
+	served, err := c.serve(standin.Worker(w))
 	if err != nil {
 		return err
 	}
 	b := &box{name: name}
-	if b.worker, err = c.link(at); err != nil {
+	if b.worker, err = c.link(served); err != nil {
 		return err
 	}
 	if b.store, err = c.link(c.store); err != nil {
 		return err
 	}
-	boot := standin.Boot{Heartbeats: addresses[1], Worker: b.worker.Address()}
-	if err := c.launch(b, boot, addresses[0], "job-agent"); err != nil {
+	boot := standin.Boot{IP: ip, Port: innerPort, Heartbeats: at(ip, heartbeatsPort), Worker: b.worker.Address()}
+	if err := c.launch(b, boot, "job-agent"); err != nil {
 		return err
 	}
-	go standin.Beat(ctx, w, addresses[1])
+	go standin.Beat(ctx, w, boot.Heartbeats)
 	c.agents = append(c.agents, b)
 	return nil
 }
 
 // launch writes the settings of a process and starts it.
-func (c *cluster) launch(b *box, boot standin.Boot, inner string, args ...string) error {
-	ip, port, err := net.SplitHostPort(inner)
-	if err != nil {
-		return err
-	}
-	boot.IP, boot.Node, boot.Zone, boot.Store = ip, b.name, "zone", b.store.Address()
-	if boot.Port, err = strconv.Atoi(port); err != nil {
-		return err
-	}
+func (c *cluster) launch(b *box, boot standin.Boot, args ...string) error {
+	boot.Node, boot.Zone, boot.Store = b.name, "zone", b.store.Address()
 	boot.Lease, boot.Revoke, boot.Grace = lease, revoke, grace
 	data, err := boot.Encode()
 	if err != nil {
--- /dev/null
+++ b/cmd/soak/explain_test.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+	"yarrowgrade.example/yarrowgrade/platform/standin"
+)
+
+// provoked is a system of real processes in which a test provokes a failure.
+type provoked struct {
+	t       *testing.T
+	logs    string
+	cluster *cluster
+	callers *callers
+}
+
+// provoke starts a system of two entries and three workers that serves.
+func provoke(t *testing.T) *provoked {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &provoked{t: t, logs: t.TempDir()}
+	c, err := newCluster(ctx, small(), 1, p.logs)
+	t.Cleanup(func() {
+		cancel()
+		c.close()
+		if t.Failed() {
+			printLogs(t, p.logs)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.platform.Workers.FailureShare = 0
+	p.cluster, p.callers = c, newCallers(c, rand.New(rand.NewPCG(1, 1)), false)
+	d := &day{settings: small(), cluster: c, callers: p.callers}
+	if !d.servesWithin(ctx, startTimeout) {
+		t.Fatal(errNotUp)
+	}
+	return p
+}
+
+// job is a job of one task that works for a while.
+func (p *provoked) job(id job.ID, work time.Duration) *job.Job {
+	p.cluster.platform.Workers.SetWork(work)
+	j := &job.Job{ID: id, Spec: "spec", Service: service, Attempts: 4, Priority: 1, Steps: []job.Step{
+		{Tasks: 1, Need: job.Need{CPU: 1000, Memory: 1000, Accelerators: 1}, Estimate: work},
+	}}
+	p.cluster.platform.Workers.Expect(j)
+	return j
+}
+
+// submit hands a job in at the first entry.
+func (p *provoked) submit(j *job.Job) standin.Answer {
+	return p.callers.caller(0, keptKey).Submit(p.t.Context(), prefix(1), j)
+}
+
+// eventually waits until a condition holds.
+func (p *provoked) eventually(what string, holds func() bool) {
+	p.t.Helper()
+	for began := time.Now(); time.Since(began) < startTimeout; time.Sleep(pollPause) {
+		if holds() {
+			return
+		}
+	}
+	p.t.Fatalf("not within %v: %s", startTimeout, what)
+}
+
+// state is what the second entry says of a job.
+func (p *provoked) state(id job.ID) string {
+	state, _ := p.callers.caller(1, keptKey).State(p.t.Context(), prefix(1), id)
+	return state
+}
+
+// trace runs the step of the page for operators: the lines of one id from the logs of all processes, in order.
+func (p *provoked) trace(id job.ID) string {
+	p.t.Helper()
+	files, err := filepath.Glob(filepath.Join(p.logs, "*.log"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	out, err := exec.Command(filepath.Join(binaries, "yarrowgrade"), append([]string{"trace", string(id)}, files...)...).CombinedOutput()
+	if err != nil {
+		p.t.Fatalf("%v\n%s", err, out)
+	}
+	return string(out)
+}
+
+// log is the log of one process.
+func (p *provoked) log(name string) string {
+	p.t.Helper()
+	data, err := os.ReadFile(filepath.Join(p.logs, name+".log"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return string(data)
+}
+
+// wantInOrder checks that the trace has lines that match the patterns, in this order.
+func (p *provoked) wantInOrder(trace string, patterns ...string) {
+	p.t.Helper()
+	rest := trace
+	for _, pattern := range patterns {
+		at := regexp.MustCompile(pattern).FindStringIndex(rest)
+		if at == nil {
+			p.t.Errorf("the trace has no %q, or not in its place:\n%s", pattern, trace)
+			return
+		}
+		rest = rest[at[1]:]
+	}
+}
+
+// TestExplainRefused: a job that was refused while the store was away. Its line says so, and the entry's own line before it
+// says what was lost.
+func TestExplainRefused(t *testing.T) {
+	t.Parallel()
+	p := provoke(t)
+	p.cluster.platform.SetFault(jobtest.Fault{Refuse: true})
+	j := p.job("00000000000000a1", time.Second)
+	var answer standin.Answer
+	p.eventually("the job is refused", func() bool {
+		answer = p.submit(j)
+		return answer.Refused()
+	})
+	if answer.Status != 503 {
+		t.Errorf("the caller got status %d", answer.Status)
+	}
+	p.wantInOrder(p.trace(j.ID), `event="job is not accepted" error="not ready; come back.*the log refused; nothing was done: status 503`)
+	p.eventually("the entry says that the store is away", func() bool {
+		return strings.Contains(p.log("entry-0"), `event="the log does not answer"`)
+	})
+	p.cluster.platform.SetFault(jobtest.Fault{})
+	p.eventually("and for how long it was", func() bool {
+		return regexp.MustCompile(`event="the log answers again" away_ms=\d`).MatchString(p.log("entry-0"))
+	})
+}
+
+// TestExplainRanAgain: a job that ended late because its worker crashed while it ran.
+func TestExplainRanAgain(t *testing.T) {
+	t.Parallel()
+	p := provoke(t)
+	j := p.job("00000000000000a2", 3*time.Second)
+	if answer := p.submit(j); !answer.Accepted() {
+		t.Fatalf("the job is not accepted: %+v", answer)
+	}
+	p.eventually("it runs", func() bool { return p.cluster.platform.Workers.Running(j.ID) == 1 })
+	for _, w := range p.cluster.workers {
+		if w.Runs(j.ID) {
+			w.Crash(500 * time.Millisecond)
+		}
+	}
+	p.eventually("it is completed", func() bool { return p.state(j.ID) == "completed" })
+	p.wantInOrder(p.trace(j.ID), `event="job is accepted"|event="run is placed"`, `run=1`, `event="run is lost".*why="its life is over"|why="its life is over"`,
+		`how=lost`, `event="run is placed"`, `run=2`, `how=done`, `event="job ended".*phase=completed|phase=completed`)
+}
+
+// TestExplainNoAnswer: a caller that got no answer, because the entry lost power while it kept the job. The trace shows that
+// the job was kept and ran all the same.
+func TestExplainNoAnswer(t *testing.T) {
+	t.Parallel()
+	p := provoke(t)
+	j := p.job("00000000000000a3", time.Second)
+	p.cluster.platform.SetFault(jobtest.Fault{Lost: 1})
+	answers := make(chan standin.Answer, 1)
+	go func() { answers <- p.submit(j) }()
+	time.Sleep(300 * time.Millisecond)
+	_ = p.cluster.entries[0].process.Signal(syscall.SIGKILL)
+	if answer := <-answers; answer.Status != 0 {
+		t.Fatalf("the caller got status %d, want no answer", answer.Status)
+	}
+	p.cluster.platform.SetFault(jobtest.Fault{})
+	if err := p.cluster.heal(); err != nil {
+		t.Fatal(err)
+	}
+	p.eventually("it is completed", func() bool { return p.state(j.ID) == "completed" })
+	trace := p.trace(j.ID)
+	if strings.Contains(trace, "job is accepted") {
+		t.Errorf("an entry says that the caller was told so:\n%s", trace)
+	}
+	p.wantInOrder(trace, `event="run is placed"`, `how=done`, `event="job ended"`)
+	p.wantInOrder(p.log("entry-0"), `event="entry starts"`, `event="entry starts"`)
+}
--- a/jobtest/rules.go
+++ b/jobtest/rules.go
@@ -119,6 +119,18 @@
 	return n
 }
 
+// Runs reports whether a task of a job runs on the worker.
+func (w *Worker) Runs(id job.ID) bool {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	for name := range w.runs {
+		if name.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
 // EverRan reports whether a task of a job was ever started anywhere.
 func (ws *Workers) EverRan(id job.ID) bool {
 	ws.mu.Lock()
--- a/jobtest/workers.go
+++ b/jobtest/workers.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// SetWork sets how long each task works that starts from now on.
+func (ws *Workers) SetWork(work time.Duration) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.Work = work
+}
+
 // Expect says that a job was handed in.
 func (ws *Workers) Expect(j *job.Job) {
 	ws.mu.Lock()
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -14,9 +14,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -102,8 +104,13 @@
 	if raw, ok := v.([]byte); ok {
 		text = string(raw)
 	}
+	// Some values come as JSON, with quotes and escapes of their own.
+	var decoded string
+	if json.Unmarshal([]byte(text), &decoded) == nil {
+		text = decoded
+	}
 	if text == "" || strings.ContainsAny(text, " =\"\n\t") {
-		return fmt.Sprintf("%q", strings.Trim(text, `"`))
+		return strconv.Quote(text)
 	}
 	return text
 }
--- a/telemetry/writer_test.go
+++ b/telemetry/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -83,6 +84,18 @@
 	})
 }
 
+// TestLine: a line is key=value pairs, and what would not read as one value is quoted once.
+func TestLine(t *testing.T) {
+	var out bytes.Buffer
+	log := newLogger(Settings{Role: "entry", Name: "e", Log: &out}, 0)
+	log.Warn().Str("step", "x").Str("empty", "").Str("plain", "a").Str("text", `say "no"`).Err(errors.New("one\ntwo")).Msg("it happened")
+	for _, want := range []string{`event="it happened"`, `step=x`, `empty=""`, `plain=a`, `text="say \"no\""`, `error="one\ntwo"`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%s is not in %s", want, out.String())
+		}
+	}
+}
+
 func BenchmarkLine(b *testing.B) {
 	w := NewWriter(io.Discard)
 	defer w.Close(time.Second)
