A read without an answer is followed by others that wait for nothing

Change: a tail sends further reads beside one without an answer, every 150 ms, as appends are hedged already. Tests: TestDeaf is new, TestBackSoon wants 0.2 s and not 1.7 s; both failed before.

--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -141,7 +141,7 @@
 	})
 }
 
-// TestBackSoon: a log that was silent is followed again within 0.6 s of its return, and one that is slow is followed too.
+// TestBackSoon: a log that was silent is followed again within 0.2 s of its return, and one that is slow is followed too.
 func TestBackSoon(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
 		r := jobstore.NewReplica(log.Client("entry"), zerolog.Nop())
@@ -155,9 +155,8 @@
 			for !r.Proof().After(back) {
 				time.Sleep(10 * time.Millisecond)
 			}
-			// A long try that began just before the return hangs for its whole time.
-			if took := time.Since(back); took > 1700*time.Millisecond {
-				t.Errorf("after %v s away it took %v", away, took)
+			if took := time.Since(back); took > 200*time.Millisecond {
+				t.Errorf("after %d s away it took %v", away, took)
 			}
 		}
 		log.SetFault("entry", jobtest.Fault{Delay: 900 * time.Millisecond})
@@ -168,6 +167,22 @@
 	})
 }
 
+// TestDeaf: while reads that wait for news hang, others still prove that there is nothing newer, so that callers' records are
+// kept.
+func TestDeaf(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
+		r := jobstore.NewReplica(log.Client("entry"), zerolog.Nop())
+		go r.Run(ctx)
+		time.Sleep(50 * time.Millisecond)
+		log.SetFault("entry", jobtest.Fault{Deaf: true})
+		for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+			if age := time.Since(r.Proof()); age > 800*time.Millisecond {
+				t.Fatalf("the proof is %v old", age)
+			}
+		}
+	})
+}
+
 // keepers starts two entries that keep records for each other.
 func keepers(t *testing.T, ctx context.Context, log *jobtest.Log) *jobstore.Keeper {
 	network := standin.NewNetwork()
--- a/jobstore/tail.go
+++ b/jobstore/tail.go
@@ -6,30 +6,23 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/hedge"
 )
 
 // Pace of a tail. Each answered read renews the proof that nothing newer exists.
 const (
 	// retryPause is the pause after a failed read.
 	retryPause = 100 * time.Millisecond
-	// firstTry bounds the first call, and each call that follows an answered one, on top of what it waits. After failures
-	// most tries are short, so that a log that is back is noticed soon, and each third one is long, for a log that is slow.
-	firstTry = 1500 * time.Millisecond
-	shortTry = 400 * time.Millisecond
-	longTry  = 1500 * time.Millisecond
+	// probeEvery is how often a read without an answer is followed by another one that waits for nothing: a connection to a
+	// log that was silent stays silent for up to a second longer than the log does, a new one does not.
+	probeEvery = 150 * time.Millisecond
+	// readLimit bounds one read, on top of what it waits.
+	readLimit = 2500 * time.Millisecond
+	// silentAfter is the number of reads without an answer from which on the log is said to be silent.
+	silentAfter = 3
 )
 
-// tryTimeout is how long a call may take after a number of failures.
-func tryTimeout(failures int) time.Duration {
-	switch {
-	case failures == 0:
-		return firstTry
-	case failures%3 == 0:
-		return longTry
-	}
-	return shortTry
-}
-
 // Tail follows a topic: first the newest record of each key, then what is appended.
 type Tail struct {
 	log    Log
@@ -37,6 +30,9 @@
 	wait   time.Duration
 	logger zerolog.Logger
 
+	// latency is that of the log's answers, without what a read waits.
+	latency *hedge.Latency
+
 	loaded   bool
 	proven   bool
 	next     int64
@@ -57,7 +53,7 @@
 
 // NewTail returns a tail of a topic that waits that long for news in a read. The name stands in its log lines.
 func NewTail(log Log, name string, wait time.Duration, logger zerolog.Logger) *Tail {
-	return &Tail{log: log, name: name, wait: wait, logger: logger}
+	return &Tail{log: log, name: name, wait: wait, logger: logger, latency: hedge.NewLatency()}
 }
 
 // Run hands all news to take until ctx ends.
@@ -65,28 +61,30 @@
 	for ctx.Err() == nil {
 		news, err := t.read(ctx)
 		if err != nil {
-			t.noteFailure(ctx, err)
-			pause(ctx, retryPause)
-			continue
+			// Only ctx ends the tries of a read.
+			return
 		}
 		t.noteSuccess()
 		take(news)
 	}
 }
 
+// answered is the answer to a read that was sent at that time.
+type answered struct {
+	batch Batch
+	sent  time.Time
+}
+
 func (t *Tail) read(ctx context.Context) (News, error) {
 	if !t.loaded {
 		return t.load(ctx)
 	}
 	wait := t.wait
-	if !t.proven || t.failures > 0 {
-		// Nothing can be served before the first proof, or a new one.
+	if !t.proven {
+		// Nothing can be served before the first proof.
 		wait = 0
 	}
-	sent := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, wait+tryTimeout(t.failures))
-	defer cancel()
-	batch, err := t.log.Read(ctx, t.next, wait)
+	a, err := t.call(ctx, wait, func(ctx context.Context, wait time.Duration) (Batch, error) { return t.log.Read(ctx, t.next, wait) })
 	if errors.Is(err, ErrExpired) {
 		t.logger.Info().Str("step", "jobstore.read").Str("topic", t.name).Int64("offset", t.next).
 			Msg("records have expired; the newest are loaded")
@@ -96,26 +94,69 @@
 	if err != nil {
 		return News{}, err
 	}
-	t.next += int64(len(batch.Records))
-	news := News{Records: batch.Records, Next: t.next}
-	if t.next >= batch.End {
-		news.Proof = sent
+	t.next += int64(len(a.batch.Records))
+	news := News{Records: a.batch.Records, Next: t.next}
+	if t.next >= a.batch.End {
+		news.Proof = a.sent
 		t.proven = true
 	}
 	return news, nil
 }
 
 func (t *Tail) load(ctx context.Context) (News, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout(t.failures))
-	defer cancel()
-	batch, err := t.log.Newest(ctx)
+	a, err := t.call(ctx, 0, func(ctx context.Context, _ time.Duration) (Batch, error) { return t.log.Newest(ctx) })
 	if err != nil {
 		return News{}, err
 	}
-	t.next, t.loaded = batch.End, true
-	t.logger.Info().Str("step", "jobstore.load").Str("topic", t.name).Int("records", len(batch.Records)).
-		Int64("offset", batch.End).Msg("newest records loaded")
-	return News{Records: batch.Records, Loaded: true, Next: t.next}, nil
+	t.next, t.loaded = a.batch.End, true
+	t.logger.Info().Str("step", "jobstore.load").Str("topic", t.name).Int("records", len(a.batch.Records)).
+		Int64("offset", a.batch.End).Msg("newest records loaded")
+	return News{Records: a.batch.Records, Loaded: true, Next: t.next}, nil
+}
+
+// call reads until there is an answer. Only the first try waits for news.
+func (t *Tail) call(ctx context.Context, wait time.Duration, read func(context.Context, time.Duration) (Batch, error)) (answered, error) {
+	calls := hedge.Calls[answered]{
+		Way: func(ctx context.Context, try int) (answered, error) {
+			if try > 0 {
+				return t.try(ctx, 0, read)
+			}
+			return t.try(ctx, wait, read)
+		},
+		After: func(try int) time.Duration {
+			if try == silentAfter {
+				t.noteFailure(ctx, errSilent)
+			}
+			if try > 0 {
+				return probeEvery
+			}
+			return wait + t.latency.Patience(0)
+		},
+		Pause: retryPause,
+		Limit: wait + readLimit,
+		Final: func(err error) bool {
+			if errors.Is(err, ErrExpired) {
+				return true
+			}
+			t.noteFailure(ctx, err)
+			return false
+		},
+	}
+	return calls.Do(ctx)
+}
+
+// errSilent says that the log gave no answer to several reads.
+var errSilent = errors.New("no answer")
+
+// try makes one read.
+func (t *Tail) try(ctx context.Context, wait time.Duration, read func(context.Context, time.Duration) (Batch, error)) (answered, error) {
+	sent := time.Now()
+	batch, err := read(ctx, wait)
+	if took := time.Since(sent); err == nil && took >= wait {
+		// News that came while the read waited say nothing about the log's answers.
+		t.latency.Note(took - wait)
+	}
+	return answered{batch: batch, sent: sent}, err
 }
 
 func (t *Tail) noteFailure(ctx context.Context, err error) {
--- a/jobtest/log.go
+++ b/jobtest/log.go
@@ -27,6 +27,8 @@
 	Silent bool
 	Refuse bool
 	Reset  bool
+	// Deaf gives no answer to reads that wait for news; all others are answered.
+	Deaf bool
 	// Delay is added to each answer.
 	Delay time.Duration
 	// Lost is the share of appends that are done and not answered; with Late they are done some seconds later.
@@ -190,6 +192,10 @@
 	if fault.Reset {
 		return jobstore.Batch{}, errReset
 	}
+	if fault.Deaf && wait > 0 {
+		<-ctx.Done()
+		return jobstore.Batch{}, ctx.Err()
+	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
