Appends know from the reads that the log is slow

The first submission at each entry was sent three times, because that entry had seen no slow append yet and tried two others after 0.15 s each: the copies filled the queue.

Change: the replica's reads and the appends of a process share one estimate of the log's latency.

--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -16,7 +16,6 @@
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
-	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/platform"
@@ -98,7 +97,8 @@
 	jobs := topic(platform.JobsTopic)
 	e.replica = jobstore.NewReplica(jobs, t.Log)
 	e.catalog = catalog.NewFollower(topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
-	latency := hedge.NewLatency()
+	// Reads are frequent: they know that the log is slow before the first append does.
+	latency := e.replica.Latency()
 	e.keeper = jobstore.NewKeeper(jobs, latency, e.replica, e.directory.Entries, address, client, t.Log)
 	e.intake = intake.New(intake.Settings{KeyProof: s.Revoke()}, intake.Parts{
 		Keeper: e.keeper, Replica: e.replica, Catalog: e.catalog, Logger: t.Log, Metrics: t.Metrics,
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/job"
 )
 
@@ -148,6 +149,9 @@
 	}
 }
 
+// Latency is that of the log's answers, as the replica's reads learn it and those who share it.
+func (r *Replica) Latency() *hedge.Latency { return r.tail.latency }
+
 // Changed is closed at the next change.
 func (r *Replica) Changed() <-chan struct{} {
 	r.mu.Lock()
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -19,7 +19,6 @@
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
-	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/job"
@@ -136,7 +135,7 @@
 	p.replica = replica
 	follower := catalog.NewFollower(s.config.Client(p.name), "config", decodeCatalog, logger)
 	directory := jobstore.NewDirectory(announced, zerolog.Nop())
-	latency := hedge.NewLatency()
+	latency := replica.Latency()
 	keeper := jobstore.NewKeeper(log, latency, replica, directory.Entries, p.name, client, logger)
 	p.intake = intake.New(intake.Settings{KeyProof: 5 * time.Second}, intake.Parts{Keeper: keeper, Replica: replica, Catalog: follower, Logger: logger, Metrics: tally.NoopScope})
 	dispatcher := dispatch.New(
