A start that comes too late is no proof that its run never was

A start got no answer, the run worked and ended within 0.2 to 0.8 s, the start was sent again and answered with 'old'. The agent told the dispatcher that the run had never started, before a listing brought its end; its task was started once more.

Change: after 'old' the worker's listing decides, as after every other refusal. TestEndedBeforeItsAnswer failed before, and the mutation old-is-a-refusal brings the fault back.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -77,8 +77,8 @@
 		r.endLife("the worker is in another life")
 		return true
 	case errors.Is(err, ErrOld):
-		r.noteEnded(s.RunID)
-		r.refuse(s.RunID, "old")
+		// It may have been there, started by a call without an answer, and have ended: only a listing can tell.
+		r.beginStop(ctx, s.RunID, "old")
 		return true
 	case errors.Is(err, ErrNoRoom):
 		r.beginStop(ctx, s.RunID, "room")
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -208,6 +208,75 @@
 	}
 }
 
+// lossy is a worker whose answers are lost: that to the first start of a run, and those to listings for two seconds from then on.
+type lossy struct {
+	*jobtest.Worker
+	mu      sync.Mutex
+	started map[assignment.RunID]bool
+	deaf    time.Time
+}
+
+func (l *lossy) Start(ctx context.Context, o runner.Order, s assignment.Start, until int64) (int64, error) {
+	l.mu.Lock()
+	again := l.started[s.RunID]
+	if !again {
+		l.started[s.RunID], l.deaf = true, time.Now().Add(2*time.Second)
+	}
+	l.mu.Unlock()
+	clock, err := l.Worker.Start(ctx, o, s, until)
+	if !again {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return clock, err
+}
+
+func (l *lossy) Hold(ctx context.Context, o runner.Order, until, seen int64, wait time.Duration) (runner.Listing, int64, error) {
+	listing, clock, err := l.Worker.Hold(ctx, o, until, seen, wait)
+	l.mu.Lock()
+	deaf := time.Now().Before(l.deaf)
+	l.mu.Unlock()
+	if deaf {
+		<-ctx.Done()
+		return runner.Listing{}, 0, ctx.Err()
+	}
+	return listing, clock, err
+}
+
+// TestEndedBeforeItsAnswer: a run that ended before its start was answered is told as ended, never as one that did not start:
+// the dispatcher would start its task once more.
+func TestEndedBeforeItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		workers := jobtest.NewWorkers(1)
+		workers.Work, workers.FailureShare = 200*time.Millisecond, 0
+		workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: job.Need{Accelerators: 1}}}})
+		worker := workers.Add("w", "s", "r", job.Need{Accelerators: 2})
+		o := &office{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds(), Start: []assignment.Start{{RunID: id(1)}}}}
+		r := runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03}, runner.Parts{
+			Worker: &lossy{Worker: worker, started: map[assignment.RunID]bool{}}, Dispatcher: o, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
+		})
+		go workers.Run(ctx)
+		go r.Run(ctx)
+		life, _ := worker.Beat()
+		r.Heartbeat(life)
+		time.Sleep(5 * time.Second)
+		ended := false
+		for _, p := range o.polls {
+			ended = ended || len(p.Ends) == 1 && p.Ends[0].How == job.EndDone
+			if !ended && len(p.Refused) > 0 {
+				t.Errorf("poll %d says that it did not start: %+v", p.Sequence, p.Refused)
+				break
+			}
+		}
+		if !ended {
+			t.Error("its end was never told")
+		}
+		cancel()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // TestOtherTerm: an agent does not go back to a dispatcher of a lower term.
 func TestOtherTerm(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
