Why a unit waits is logged once for each unit

Change: what was logged last is kept by unit. TestWaitsAreLoggedOnce failed before (10 lines, want 2). No measurement: log lines only.

--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -26,8 +26,8 @@
 	failedOn map[string]time.Time
 	// cleared is when work was last told to stop for a unit, by its first task.
 	cleared map[job.TaskName]time.Time
-	// waits is why it was last logged to wait.
-	waits string
+	// waits is why its units were last logged to wait, by their first tasks.
+	waits map[job.TaskName]string
 }
 
 // worker is a worker as the control goroutine knows it.
@@ -50,7 +50,7 @@
 func newTracked(j *job.Job) *tracked {
 	return &tracked{
 		job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}, took: map[int]time.Duration{},
-		failedOn: map[string]time.Time{}, cleared: map[job.TaskName]time.Time{},
+		failedOn: map[string]time.Time{}, cleared: map[job.TaskName]time.Time{}, waits: map[job.TaskName]string{},
 	}
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -354,12 +354,12 @@
 	p.noteWait(w, "no room")
 }
 
-// noteWait logs why a unit of a job waits, when that is not what was logged of the job last.
+// noteWait logs why a unit waits, when that is not what was logged of it last.
 func (p *plan) noteWait(w waiting, why string) {
-	if w.tracked.waits == why {
+	if w.tracked.waits[w.unit.Tasks[0]] == why {
 		return
 	}
-	w.tracked.waits = why
+	w.tracked.waits[w.unit.Tasks[0]] = why
 	p.c.logger.Info().Str("step", "dispatch.wait").Stringer("task", w.unit.Tasks[0]).Int("tasks", len(w.unit.Tasks)).
 		Int("priority", w.tracked.job.Priority).Bool("assured", w.assured).Time("due", w.due).Str("why", why).Msg("job waits")
 }
@@ -382,7 +382,8 @@
 			Dur("forecast_ms", w.length).
 			Time("due", w.due).Msg("run is placed")
 	}
-	w.tracked.dirty, w.tracked.waits = true, ""
+	w.tracked.dirty = true
+	delete(w.tracked.waits, w.unit.Tasks[0])
 }
 
 // holdBack keeps the rack, or the nodes, that would be free first for the unit.
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -89,6 +89,13 @@
 	b.control.plan(context.Background(), b.now)
 }
 
+// logged lets the control log into a buffer, and returns a count of the lines of an event.
+func (b *bench) logged() func(event string) int {
+	var out strings.Builder
+	b.control.logger = zerolog.New(&out)
+	return func(event string) int { return strings.Count(out.String(), event) }
+}
+
 // observe lets workers report the progress of what is placed on them.
 func (b *bench) observe(t *tracked, began time.Time, percent int) {
 	t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
@@ -608,3 +615,19 @@
 		bench.plan(time.Millisecond)
 	}
 }
+
+// TestWaitsAreLoggedOnce: two units of a job that wait for different reasons are logged once each, not at each pass.
+func TestWaitsAreLoggedOnce(t *testing.T) {
+	b := newBench(t, 1, 1)
+	lines := b.logged()
+	// One unit waits for the job that yields, the other finds nothing that may.
+	b.job(1, "", job.Step{Tasks: 1, Need: job.Need{CPU: 1000, Memory: 1000, Accelerators: 8}})
+	b.plan(0)
+	b.job(0, "", job.Step{Tasks: 2, Need: job.Need{CPU: 1000, Memory: 1000, Accelerators: 8}})
+	for range 5 {
+		b.plan(time.Millisecond)
+	}
+	if got := lines("job waits"); got != 2 {
+		t.Errorf("%d lines, want 2", got)
+	}
+}
