--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -1,4 +1,4 @@
-// Package assignment holds the messages between an agent and the dispatcher in office: the agent polls, says what its
+// Package assignment holds the messages between an agent and the leader: the agent polls, says what its
 // worker runs, and hears what it should run.
 //
 // All of it is level-triggered: an answer is made from what is wanted and what the poll says, so a lost message needs no
@@ -20,17 +20,17 @@
 // Path is where a dispatcher takes polls.
 const Path = "/internal/assignments"
 
-// OfficePath is where an entry says who the dispatcher is.
-const OfficePath = "/internal/office"
+// LeaderPath is where an entry says who the dispatcher is.
+const LeaderPath = "/internal/leader"
 
-// HandoverPath is where an entry is asked to take the office over.
-const HandoverPath = "/internal/office/handover"
+// HandoverPath is where an entry is asked to take over from a leader.
+const HandoverPath = "/internal/leader/handover"
 
-// Handover is the holder's offer of the office: it does not reach the log.
+// Handover is a leader's offer of its place: it does not reach the log.
 type Handover struct {
 	Term   int64  `json:"term"`
-	Holder string `json:"holder"`
-	// FailingMillis is for how long the holder has not reached the log.
+	Name string `json:"holder"`
+	// FailingMillis is for how long the leader has not reached the log.
 	FailingMillis int64 `json:"failing_ms"`
 }
 
--- a/cmd/yarrowgraded/jobagent.go
+++ b/cmd/yarrowgraded/jobagent.go
@@ -71,10 +71,10 @@
 // newJobAgent returns what an agent consists of: the way to the dispatcher, and the runner.
 func newJobAgent(s *platform.Settings, t *telemetry.Telemetry) (*jobstore.Directory, *runner.Runner) {
 	client := newClient(t)
-	offices := jobstore.Metered(platform.NewStore(s, client).Topic(platform.OfficeTopic), t.Metrics)
-	directory := jobstore.NewDirectory(offices, t.Log)
+	topic := jobstore.Metered(platform.NewStore(s, client).Topic(platform.DirectoryTopic), t.Metrics)
+	directory := jobstore.NewDirectory(topic, t.Log)
 	return directory, runner.New(
 		runner.Settings{Name: s.Node, Agent: uuid.NewString(), Lease: s.Hold(), Drift: workerDrift},
-		runner.Parts{Worker: platform.NewWorker(s, client), Dispatcher: runner.NewOffice(directory, client), Logger: t.Log, Metrics: t.Metrics},
+		runner.Parts{Worker: platform.NewWorker(s, client), Dispatcher: runner.NewLeaderClient(directory, client), Logger: t.Log, Metrics: t.Metrics},
 	)
 }
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -24,10 +24,10 @@
 
 const jobEntryUsage = `
 job-entry is the entry for jobs on the users' platform. It takes callers' jobs, keeps them in the platform's store, and
-tells their state. One of the entries holds the office of dispatcher and decides what runs where; the others follow and
+tells their state. One of the entries holds leadership and decides what runs where; the others follow and
 take over when it is silent.
 
-Its settings come from the file that the platform names. On SIGTERM it calls itself not ready, gives the office up,
+Its settings come from the file that the platform names. On SIGTERM it calls itself not ready, gives leadership up,
 finishes what is in flight, and exits.
 
 Example:
@@ -92,7 +92,7 @@
 	client := newClient(t)
 	store := platform.NewStore(s, client)
 	topic := func(name string) jobstore.Log { return jobstore.Metered(store.Topic(name), t.Metrics) }
-	e := &jobEntry{settings: s, address: address, telemetry: t, announced: topic(platform.OfficeTopic), leaving: make(chan struct{})}
+	e := &jobEntry{settings: s, address: address, telemetry: t, announced: topic(platform.DirectoryTopic), leaving: make(chan struct{})}
 	e.directory = jobstore.NewDirectory(e.announced, t.Log)
 	jobs := topic(platform.JobsTopic)
 	e.replica = jobstore.NewReplica(jobs, t.Log)
@@ -106,7 +106,7 @@
 	timing := dispatch.DefaultTiming(s.Hold())
 	timing.Forget = s.Status() + time.Minute
 	e.dispatcher = dispatch.New(
-		dispatch.Settings{Holder: s.Node + "/" + uuid.NewString(), Address: address, Timing: timing},
+		dispatch.Settings{Name: s.Node + "/" + uuid.NewString(), Address: address, Timing: timing},
 		dispatch.Parts{
 			Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Adviser: platform.NewAdvice(s, client),
 			Latency: latency, Client: client, Peers: e.directory.Entries, Logger: t.Log, Metrics: t.Metrics,
@@ -157,7 +157,7 @@
 	inner := httprouter.New()
 	inner.HandlerFunc(http.MethodPost, assignment.Path, e.dispatcher.ServePoll)
 	inner.HandlerFunc(http.MethodPost, jobstore.KeepPath, e.keeper.ServeKeep)
-	inner.HandlerFunc(http.MethodGet, assignment.OfficePath, e.dispatcher.ServeOffice)
+	inner.HandlerFunc(http.MethodGet, assignment.LeaderPath, e.dispatcher.ServeLeader)
 	inner.HandlerFunc(http.MethodPost, assignment.HandoverPath, e.dispatcher.ServeHandover)
 	intake.NewOperators(e.replica).Register(inner)
 	inner.Handler(http.MethodGet, "/metrics", e.telemetry.MetricsHandler)
--- a/dispatch/control.go
+++ b/dispatch/control.go
@@ -115,13 +115,13 @@
 	return max(left-now.Sub(o.advanced), 0), true
 }
 
-// control is the state of a holder of the office. One goroutine owns it.
+// control is the state of a leader. One goroutine owns it.
 type control struct {
 	timing  Timing
 	logger  zerolog.Logger
 	catalog *catalog.Follower
 	replica *jobstore.Replica
-	// took is when the office was taken.
+	// took is when this entry began to lead.
 	took    time.Time
 	jobs    map[job.ID]*tracked
 	workers map[string]*worker
@@ -342,7 +342,7 @@
 }
 
 // expire ends what is placed on workers whose lease is surely over: nobody has extended it for long enough. A former
-// holder may have given a lease with a proof from just before this one took office.
+// leader may have given a lease with a proof from just before this one began to lead.
 func (c *control) expire(now time.Time, d *desk) {
 	earliest := c.took.Add(c.timing.Proof)
 	names := map[string]bool{}
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -49,7 +49,7 @@
 	news   chan struct{}
 
 	mu sync.Mutex
-	// term is that of the office held here; zero if it isn't.
+	// term is that in which this entry leads; zero if it does not.
 	term   int64
 	fences int64
 	proof  time.Time
@@ -81,7 +81,7 @@
 	d.announce()
 }
 
-// prove notes that the office was held when a write that has been acknowledged was sent.
+// prove notes that this entry led when a write that has been acknowledged was sent.
 func (d *desk) prove(sent time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -103,7 +103,7 @@
 	d.published = make(chan struct{})
 }
 
-// lease is how long runs may be kept alive from now on: nothing once the proof of the office is too old, because a
+// lease is how long runs may be kept alive from now on: nothing once the proof of leadership is too old, because a
 // successor counts on it.
 func (d *desk) lease(now time.Time) time.Duration {
 	if now.Sub(d.proof) > d.timing.Proof {
@@ -112,7 +112,7 @@
 	return d.timing.Lease
 }
 
-// serve answers a poll, or returns false if the office is not held here, or not in the term that the agent knows.
+// serve answers a poll, or returns false if this entry does not lead, or not in the term that the agent knows.
 func (d *desk) serve(ctx context.Context, poll assignment.Poll) (assignment.Answer, bool) {
 	arrived := time.Now()
 	if !d.receive(poll) {
--- a/dispatch/desk_test.go
+++ b/dispatch/desk_test.go
@@ -65,7 +65,7 @@
 	})
 }
 
-// TestDeskProof: with an old proof of the office nothing is leased and nothing started.
+// TestDeskProof: with an old proof of leadership nothing is leased and nothing started.
 func TestDeskProof(t *testing.T) {
 	desked(t, func(t *testing.T, d *desk) {
 		ask(t, d, poll(1))
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,13 +1,13 @@
-// Package dispatch decides which task runs on which worker. One entry at a time holds the office of dispatcher; each entry
+// Package dispatch decides which task runs on which worker. One entry at a time leads; each entry
 // runs a Dispatcher, which waits until its turn comes.
 //
-// # Office
+// # Leadership
 //
-// The office is a record of the job topic with a term. An entry that has read everything and sees no sign of the holder
+// Who leads is a record of the job topic with a term. An entry that has read everything and sees no sign of the leader
 // for a while claims the next term, on the condition that nothing was written meanwhile; the log then shuts out what a
-// former holder writes. A holder leases running work out only while it has a proof, an acknowledged write of its term, that
+// former leader writes. A leader leases running work out only while it has a proof, an acknowledged write of its term, that
 // is younger than Timing.Proof. So a successor knows how long work on a silent worker can still run: Timing.Proof after it
-// took office, and a lease on top.
+// began to lead, and a lease on top.
 //
 // # Decisions
 //
@@ -43,8 +43,8 @@
 
 // Timing is the pace of a dispatcher and the bounds that others count on.
 type Timing struct {
-	// Lease is how long from an answer on a worker's runs may be kept alive; Proof bounds the age of the proof of the
-	// office with which one is given.
+	// Lease is how long from an answer on a worker's runs may be kept alive; Proof bounds the age of the proof
+	// of leadership with which one is given.
 	Lease time.Duration
 	Proof time.Duration
 	// Drift is the most that a worker's clock may add to a lease, as a share, and Margin a fixed time on top.
@@ -52,15 +52,15 @@
 	Margin time.Duration
 	// Hold is how long a poll is held when there is nothing to say.
 	Hold time.Duration
-	// Renew is how often a holder that writes nothing else shows that it lives. Patience is how long the others wait
+	// Renew is how often a leader that writes nothing else shows that it lives. Patience is how long the others wait
 	// without a sign.
 	Renew    time.Duration
 	Patience time.Duration
-	// Doubt is how long without a sign the others wait before they ask the holder whether it is still there.
+	// Doubt is how long without a sign the others wait before they ask the leader whether it is still there.
 	Doubt time.Duration
-	// Desertion is how long a holder with work to do goes on without hearing from any agent: one that is cut off from the
+	// Unreached is how long a leader with work to do goes on without hearing from any agent: one that is cut off from the
 	// agents, but not from the log, must let another one try.
-	Desertion time.Duration
+	Unreached time.Duration
 	// Silent is how long a worker may be silent and still get new work.
 	Silent time.Duration
 	// Forget is how long an ended job is kept.
@@ -72,7 +72,7 @@
 	return Timing{
 		Lease: lease, Proof: 3 * time.Second, Drift: 0.03, Margin: 300 * time.Millisecond,
 		Hold: 500 * time.Millisecond, Renew: 400 * time.Millisecond, Patience: time.Second, Doubt: 600 * time.Millisecond,
-		Desertion: 3 * time.Second, Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute,
+		Unreached: 3 * time.Second, Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute,
 	}
 }
 
@@ -83,8 +83,8 @@
 
 // Settings of a dispatcher.
 type Settings struct {
-	// Holder names this life of the entry; Address is where agents reach it.
-	Holder  string
+	// Name names this life of the entry; Address is where agents reach it.
+	Name  string
 	Address string
 	Timing  Timing
 }
@@ -107,14 +107,14 @@
 	Metrics tally.Scope
 }
 
-// Dispatcher waits for the office and holds it.
+// Dispatcher waits until its turn to lead comes, and leads.
 type Dispatcher struct {
 	settings Settings
 	parts    Parts
 	metrics  *metrics
 	desk     *desk
 	resign   chan struct{}
-	// offered is the newest term whose holder has offered the office to this entry.
+	// offered is the newest term whose leader has offered this entry to lead instead of it.
 	offered atomic.Int64
 }
 
@@ -123,10 +123,10 @@
 	return &Dispatcher{settings: s, parts: p, metrics: newMetrics(p.Metrics), desk: newDesk(s.Timing), resign: make(chan struct{})}
 }
 
-// Resign gives the office up, if it is held, and never claims it again.
+// Resign ends leadership, if this entry leads, and never claims it again.
 func (d *Dispatcher) Resign() { close(d.resign) }
 
-// resigned reports whether Resign was called: an entry that leaves must not claim again the office that it has given up.
+// resigned reports whether Resign was called: an entry that leaves must not claim leadership again once it has given it up.
 func (d *Dispatcher) resigned() bool {
 	select {
 	case <-d.resign:
@@ -136,66 +136,66 @@
 	}
 }
 
-// Run waits for the office and holds it, again and again, until ctx ends.
+// Run waits until its turn to lead comes, and leads, again and again, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	lost := int64(-1)
 	rest := time.Time{}
 	for ctx.Err() == nil {
-		office, ok := d.await(ctx, lost, rest)
+		leader, ok := d.await(ctx, lost, rest)
 		if !ok {
 			return
 		}
-		d.metrics.offices.Inc(officeTaken)
-		err := d.hold(ctx, office)
-		d.metrics.offices.Inc(endOfOffice(err))
-		lost = office.Term
-		if errors.Is(err, errDeserted) {
-			rest = time.Now().Add(d.settings.Timing.Desertion)
+		d.metrics.terms.Inc(leadTaken)
+		err := d.lead(ctx, leader)
+		d.metrics.terms.Inc(endOfTerm(err))
+		lost = leader.Term
+		if errors.Is(err, errUnreached) {
+			rest = time.Now().Add(d.settings.Timing.Unreached)
 		}
-		d.parts.Logger.Warn().Str("step", "dispatch.hold").Int64("term", office.Term).Err(err).Msg("office lost")
+		d.parts.Logger.Warn().Str("step", "dispatch.hold").Int64("term", leader.Term).Err(err).Msg("leadership lost")
 	}
 }
 
-// endOfOffice is the event by which an office ends, as it is counted.
-func endOfOffice(err error) string {
+// endOfTerm is the event by which a term ends, as it is counted.
+func endOfTerm(err error) string {
 	if errors.Is(err, errHandedOver) {
-		return officeGiven
+		return leadHandedOver
 	}
-	return officeLost
+	return leadLost
 }
 
 // await returns when this entry holds a term above the one that it has lost. It claims none before the end of the rest.
-func (d *Dispatcher) await(ctx context.Context, lost int64, rest time.Time) (jobstore.Office, bool) {
+func (d *Dispatcher) await(ctx context.Context, lost int64, rest time.Time) (jobstore.Leader, bool) {
 	drawn := d.settings.Timing.Patience + rand.N(d.settings.Timing.Patience/5)
 	began := time.Now()
 	var claimed, asked time.Time
-	answers := make(chan jobstore.Office, 1)
-	var gone jobstore.Office
+	answers := make(chan jobstore.Leader, 1)
+	var gone jobstore.Leader
 	for {
 		if d.resigned() {
-			return jobstore.Office{}, false
+			return jobstore.Leader{}, false
 		}
 		changed := d.parts.Replica.Changed()
-		office, sign, next := d.parts.Replica.Office()
-		if office.Holder == d.settings.Holder && office.Term > lost {
-			return office, true
+		leader, sign, next := d.parts.Replica.Leader()
+		if leader.Name == d.settings.Name && leader.Term > lost {
+			return leader, true
 		}
 		known := !d.parts.Replica.Proof().IsZero()
-		// After a gap in this entry's own reads the holder gets its time to show itself.
+		// After a gap in this entry's own reads the leader gets its time to show itself.
 		if watching := time.Now().Add(-min(d.parts.Replica.Watched(), time.Since(began))); sign.Before(watching) {
 			sign = watching
 		}
 		// While the log is slow, so are the signs.
 		patience := max(drawn, 2*d.parts.Latency.Patience(0))
-		vacant := office.Holder == "" || office.Term == d.offered.Load() || office == gone || time.Since(sign) > patience
+		vacant := leader.Name == "" || leader.Term == d.offered.Load() || leader == gone || time.Since(sign) > patience
 		if !vacant && known && d.shouldAsk(sign, asked) {
 			asked = time.Now()
-			go d.askHolder(ctx, office, answers)
+			go d.askLeader(ctx, leader, answers)
 		}
 		if vacant && known && time.Now().After(rest) && time.Since(claimed) > patience/2 {
 			claimed = time.Now()
-			if err := d.claim(ctx, office.Term+1, next); errors.Is(err, jobstore.ErrConflict) {
-				// Something else was written meanwhile, perhaps by the holder. Once that has been read, it is looked at again.
+			if err := d.claim(ctx, leader.Term+1, next); errors.Is(err, jobstore.ErrConflict) {
+				// Something else was written meanwhile, perhaps by the leader. Once that has been read, it is looked at again.
 				claimed = time.Time{}
 			}
 		}
@@ -204,15 +204,15 @@
 		case gone = <-answers:
 		case <-time.After(awaitTick):
 		case <-d.resign:
-			return office, false
+			return leader, false
 		case <-ctx.Done():
-			return office, false
+			return leader, false
 		}
 	}
 }
 
-// shouldAsk reports whether it is time to ask the holder whether it is still there: at once after this process has started,
-// because after a loss of power the holder may be gone as well, and later when no sign of it has come for a while.
+// shouldAsk reports whether it is time to ask the leader whether it is still there: at once after this process has started,
+// because after a loss of power the leader may be gone as well, and later when no sign of it has come for a while.
 func (d *Dispatcher) shouldAsk(sign, asked time.Time) bool {
 	if time.Since(asked) < askTimeout {
 		return false
@@ -220,44 +220,44 @@
 	return asked.IsZero() || time.Since(sign) > d.settings.Timing.Doubt
 }
 
-// askHolder asks the holder whether it is still there, and hands the office over as one whose holder is gone if it is not.
-func (d *Dispatcher) askHolder(ctx context.Context, office jobstore.Office, gone chan<- jobstore.Office) {
-	if !d.holderIsGone(ctx, office) {
+// askLeader asks the leader whether it is still there, and passes it on as one that is gone if it is not.
+func (d *Dispatcher) askLeader(ctx context.Context, leader jobstore.Leader, gone chan<- jobstore.Leader) {
+	if !d.leaderIsGone(ctx, leader) {
 		return
 	}
 	select {
-	case gone <- office:
+	case gone <- leader:
 	default:
 		// An earlier answer has not been taken yet.
 	}
 }
 
-// holderIsGone asks the holder whether it is still there. Only an answer of another life, or none because nothing listens
-// there, says that it is not; the holder's silence says nothing.
-func (d *Dispatcher) holderIsGone(ctx context.Context, office jobstore.Office) bool {
-	if office.Address == d.settings.Address {
+// leaderIsGone asks the leader whether it is still there. Only an answer of another life, or none because nothing listens
+// there, says that it is not; the leader's silence says nothing.
+func (d *Dispatcher) leaderIsGone(ctx context.Context, leader jobstore.Leader) bool {
+	if leader.Address == d.settings.Address {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var r assignment.Redirect
-	err := jsonhttp.Call(ctx, d.parts.Client, "dispatch.ask", http.MethodGet, "http://"+office.Address, assignment.OfficePath, nil, &r)
+	err := jsonhttp.Call(ctx, d.parts.Client, "dispatch.ask", http.MethodGet, "http://"+leader.Address, assignment.LeaderPath, nil, &r)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return r.Self != office.Holder
+	return r.Self != leader.Name
 }
 
-// askTimeout bounds the question to a holder.
+// askTimeout bounds the question to a leader.
 const askTimeout = 300 * time.Millisecond
 
-// awaitTick is how often the silence of the holder is looked at.
+// awaitTick is how often the silence of the leader is looked at.
 const awaitTick = 100 * time.Millisecond
 
 // claim writes the claim of a term. Whether it counts is seen in the topic alone: the log takes the claims of several
 // entries for doubles of one call, because they carry the same term and number, and answers all of them with success.
 func (d *Dispatcher) claim(ctx context.Context, term, next int64) error {
-	record, err := jobstore.OfficeRecord(jobstore.Office{Term: term, Holder: d.settings.Holder, Address: d.settings.Address})
+	record, err := jobstore.LeaderRecord(jobstore.Leader{Term: term, Name: d.settings.Name, Address: d.settings.Address})
 	if err != nil {
 		return err
 	}
@@ -265,7 +265,7 @@
 	defer cancel()
 	condition := jobstore.Condition{At: next, Exact: true, Producer: jobstore.TermOf(term, 0)}
 	offset, err := d.parts.Log.Append(ctx, []jobstore.Record{record}, condition)
-	d.parts.Logger.Info().Str("step", "dispatch.claim").Int64("term", term).Int64("offset", offset).Err(err).Msg("office claimed")
+	d.parts.Logger.Info().Str("step", "dispatch.claim").Int64("term", term).Int64("offset", offset).Err(err).Msg("leadership claimed")
 	return err
 }
 
@@ -282,15 +282,15 @@
 // errSucceeded says that another entry holds a later term.
 var errSucceeded = errors.New("a later term has begun")
 
-// errDeserted says that the office was given up because no agent reaches this entry.
-var errDeserted = errors.New("no agent reaches this entry")
+// errUnreached says that leadership was given up because no agent reaches this entry.
+var errUnreached = errors.New("no agent reaches this entry")
 
-// errResigned says that the office was given up.
+// errResigned says that leadership was given up.
 var errResigned = errors.New("given up for a planned stop")
 
-// term is the writing side of an office: it numbers the appends and repeats those without an answer.
+// term is the writing side of a term: it numbers the appends and repeats those without an answer.
 type term struct {
-	office   jobstore.Office
+	leader   jobstore.Leader
 	parts    Parts
 	desk     *desk
 	sequence int64
@@ -300,7 +300,7 @@
 // write appends records for sure, or returns errSucceeded, or the context's error.
 func (t *term) write(ctx context.Context, records []jobstore.Record) error {
 	t.sequence++
-	condition := jobstore.Condition{Producer: jobstore.TermOf(t.office.Term, t.sequence)}
+	condition := jobstore.Condition{Producer: jobstore.TermOf(t.leader.Term, t.sequence)}
 	began := time.Now()
 	calls := hedge.Calls[int64]{
 		Way:   func(ctx context.Context, try int) (int64, error) { return t.append(ctx, try, records, condition) },
@@ -320,7 +320,7 @@
 		return err
 	}
 	if took := time.Since(began); took > slowAppend {
-		t.parts.Logger.Info().Str("step", "dispatch.write").Int64("term", t.office.Term).Int64("offset", offset).
+		t.parts.Logger.Info().Str("step", "dispatch.write").Int64("term", t.leader.Term).Int64("offset", offset).
 			Int("records", len(records)).Dur("took_ms", took).Msg("append took long")
 	}
 	// Which of the tries was carried out is not known, only that it was after the first one was sent.
@@ -332,11 +332,11 @@
 
 // append makes one try.
 func (t *term) append(ctx context.Context, try int, records []jobstore.Record, c jobstore.Condition) (int64, error) {
-	if office, _, _ := t.parts.Replica.Office(); office.Term > t.office.Term {
+	if leader, _, _ := t.parts.Replica.Leader(); leader.Term > t.leader.Term {
 		return 0, errSucceeded
 	}
 	if try == 1 {
-		t.parts.Logger.Warn().Str("step", "dispatch.write").Int64("term", t.office.Term).Msg("append without an answer; sent again")
+		t.parts.Logger.Warn().Str("step", "dispatch.write").Int64("term", t.leader.Term).Msg("append without an answer; sent again")
 	}
 	sent := time.Now()
 	offset, err := t.parts.Log.Append(ctx, records, c)
@@ -346,32 +346,32 @@
 	return offset, err
 }
 
-// renew shows that the holder lives.
+// renew shows that the leader lives.
 func (t *term) renew(ctx context.Context) error {
-	record, err := jobstore.OfficeRecord(t.office)
+	record, err := jobstore.LeaderRecord(t.leader)
 	if err != nil {
 		return err
 	}
 	return t.write(ctx, []jobstore.Record{record})
 }
 
-// hold holds the office until it is lost.
-func (d *Dispatcher) hold(ctx context.Context, office jobstore.Office) error {
+// lead leads until leadership is lost.
+func (d *Dispatcher) lead(ctx context.Context, leader jobstore.Leader) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := &term{office: office, parts: d.parts, desk: d.desk, written: time.Now()}
+	t := &term{leader: leader, parts: d.parts, desk: d.desk, written: time.Now()}
 	c := newControl(d.settings.Timing, d.parts, d.metrics)
 	if err := c.load(d.parts.Replica.All()); err != nil {
 		return err
 	}
-	// The claim was acknowledged or read back; the first write proves the office from now on.
-	d.desk.open(office.Term, time.Time{})
+	// The claim was acknowledged or read back; the first write proves leadership from now on.
+	d.desk.open(leader.Term, time.Time{})
 	defer d.desk.close()
-	d.parts.Logger.Info().Str("step", "dispatch.hold").Int64("term", office.Term).Int("jobs", len(c.jobs)).Msg("office taken")
+	d.parts.Logger.Info().Str("step", "dispatch.hold").Int64("term", leader.Term).Int("jobs", len(c.jobs)).Msg("leadership taken")
 	if err := t.renew(ctx); err != nil {
 		return err
 	}
-	go jobstore.AnnounceOffice(ctx, d.parts.Directory, office)
+	go jobstore.AnnounceLeader(ctx, d.parts.Directory, leader)
 	for {
 		changed, ruled := d.parts.Replica.Changed(), d.parts.Catalog.Changed()
 		if err := c.pass(ctx, t, d.desk); err != nil {
@@ -396,18 +396,18 @@
 			return ctx.Err()
 		}
 		timer.Stop()
-		if current, _, _ := d.parts.Replica.Office(); current.Term > office.Term {
+		if current, _, _ := d.parts.Replica.Leader(); current.Term > leader.Term {
 			return errSucceeded
 		}
-		if d.desk.silence(time.Now()) > d.settings.Timing.Desertion && c.busy() {
-			return errors.Join(errDeserted, d.giveUp(ctx, t))
+		if d.desk.silence(time.Now()) > d.settings.Timing.Unreached && c.busy() {
+			return errors.Join(errUnreached, d.giveUp(ctx, t))
 		}
 	}
 }
 
-// giveUp tells the others that the office is vacant.
+// giveUp tells the others that there is no leader.
 func (d *Dispatcher) giveUp(ctx context.Context, t *term) error {
-	t.office.Holder = ""
+	t.leader.Name = ""
 	if err := t.renew(ctx); err != nil {
 		return err
 	}
--- a/dispatch/handler.go
+++ b/dispatch/handler.go
@@ -22,12 +22,12 @@
 	jsonhttp.Write(w, http.StatusOK, answer)
 }
 
-// ServeOffice says where the dispatcher is.
-func (d *Dispatcher) ServeOffice(w http.ResponseWriter, _ *http.Request) {
+// ServeLeader says where the dispatcher is.
+func (d *Dispatcher) ServeLeader(w http.ResponseWriter, _ *http.Request) {
 	jsonhttp.Write(w, http.StatusOK, d.redirect())
 }
 
 func (d *Dispatcher) redirect() assignment.Redirect {
-	office, _, _ := d.parts.Replica.Office()
-	return assignment.Redirect{Term: office.Term, Address: office.Address, Self: d.settings.Holder}
+	leader, _, _ := d.parts.Replica.Leader()
+	return assignment.Redirect{Term: leader.Term, Address: leader.Address, Self: d.settings.Name}
 }
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -14,19 +14,19 @@
 
 // Times of a handover.
 const (
-	// handOverAfter is how long a write of the holder may go without success before it asks the others to take the office.
+	// handOverAfter is how long a write of the leader may go without success before it asks the others to lead.
 	handOverAfter = 400 * time.Millisecond
 	// handOverPause is the pause between two rounds of asking, handOverTimeout bounds a question.
 	handOverPause   = 300 * time.Millisecond
 	handOverTimeout = 500 * time.Millisecond
-	// reachTimeout bounds the read by which an entry makes sure that it reaches the log before it takes the office over.
+	// reachTimeout bounds the read by which an entry makes sure that it reaches the log before it takes over.
 	reachTimeout = 250 * time.Millisecond
 )
 
-// errHandedOver says that another entry takes the office, because this one does not reach the log.
+// errHandedOver says that another entry takes over, because this one does not reach the log.
 var errHandedOver = errors.New("handed over to an entry that reaches the log")
 
-// handOver waits until a write has gone without success for a while, and then asks the other entries to take the office,
+// handOver waits until a write has gone without success for a while, and then asks the other entries to lead,
 // until one will or ctx ends. It calls handed once one will.
 func (t *term) handOver(ctx context.Context, handed func()) {
 	began := time.Now()
@@ -40,19 +40,19 @@
 	}
 }
 
-// offer asks all other entries at once, and reports whether one takes the office.
+// offer asks all other entries at once, and reports whether one will.
 func (t *term) offer(ctx context.Context, failing time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	answers := make(chan bool)
 	open := 0
 	for _, address := range t.parts.Peers() {
-		if address == t.office.Address {
+		if address == t.leader.Address {
 			continue
 		}
 		open++
 		go func() {
-			offer := assignment.Handover{Term: t.office.Term, Holder: t.office.Holder, FailingMillis: failing.Milliseconds()}
+			offer := assignment.Handover{Term: t.leader.Term, Name: t.leader.Name, FailingMillis: failing.Milliseconds()}
 			var none struct{}
 			err := jsonhttp.Call(ctx, t.parts.Client, "dispatch.offer", http.MethodPost, "http://"+address, assignment.HandoverPath, offer, &none)
 			select {
@@ -74,8 +74,8 @@
 	return false
 }
 
-// ServeHandover takes the office over from a holder that does not reach the log, if this entry does, and has done so all the
-// while: when the log was away for all, the office stays where it is.
+// ServeHandover takes over from a leader that does not reach the log, if this entry does, and has done so all the
+// while: when the log was away for all, the leader stays.
 func (d *Dispatcher) ServeHandover(w http.ResponseWriter, r *http.Request) {
 	var offer assignment.Handover
 	if err := jsonhttp.Read(w, r, &offer); err != nil {
@@ -86,7 +86,7 @@
 		jsonhttp.WriteError(w, &jsonhttp.StatusError{Status: http.StatusConflict, Message: err.Error()})
 		return
 	}
-	d.parts.Logger.Info().Str("step", "dispatch.handover").Int64("term", offer.Term).Str("holder", offer.Holder).Msg("office is offered, and taken over")
+	d.parts.Logger.Info().Str("step", "dispatch.handover").Int64("term", offer.Term).Str("leader", offer.Name).Msg("leadership is offered, and taken over")
 	jsonhttp.Write(w, http.StatusOK, struct{}{})
 }
 
@@ -95,7 +95,7 @@
 	if d.resigned() {
 		return errResigned
 	}
-	if office, _, _ := d.parts.Replica.Office(); office.Term != offer.Term || office.Holder != offer.Holder {
+	if leader, _, _ := d.parts.Replica.Leader(); leader.Term != offer.Term || leader.Name != offer.Name {
 		return errSucceeded
 	}
 	failing := time.Duration(offer.FailingMillis) * time.Millisecond
@@ -104,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	_, _, next := d.parts.Replica.Office()
+	_, _, next := d.parts.Replica.Leader()
 	if _, err := d.parts.Log.Read(ctx, next, 0); err != nil && !errors.Is(err, jobstore.ErrExpired) {
 		return err
 	}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -11,7 +11,7 @@
 
 // metrics are a dispatcher's. Those with a team have a series for each team of the configuration.
 type metrics struct {
-	offices  telemetry.Counters[string]
+	terms  telemetry.Counters[string]
 	ends     telemetry.Counters[job.Ending]
 	stops    telemetry.Counters[string]
 	losses   telemetry.Counters[string]
@@ -26,9 +26,9 @@
 
 // Labels of what is counted. Stops and losses are counted by the first words of why.
 const (
-	officeTaken  = "taken"
-	officeLost   = "lost"
-	officeGiven  = "handed_over"
+	leadTaken  = "taken"
+	leadLost   = "lost"
+	leadHandedOver  = "handed_over"
 	stopYields   = "yields"
 	stopStall    = "stalled"
 	stopLeaves   = "worker_leaves"
@@ -42,7 +42,7 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
-		offices: telemetry.NewCounters(scope, "offices", "event", officeTaken, officeLost, officeGiven),
+		terms: telemetry.NewCounters(scope, "terms", "event", leadTaken, leadLost, leadHandedOver),
 		ends: telemetry.NewCounters(scope, "runs_ended", "how", job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken,
 			job.EndAlone, job.EndLost, job.EndRefused),
 		stops:    telemetry.NewCounters(scope, "runs_stopped", "why", stopYields, stopStall, stopLeaves),
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -61,7 +61,7 @@
 // plan is one decision: it is made anew in each pass.
 type plan struct {
 	c *control
-	// ctx ends with the office; questions to the adviser live in it.
+	// ctx ends with the term; questions to the adviser live in it.
 	ctx     context.Context
 	now     time.Time
 	nodes   []*node
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -24,7 +24,7 @@
 	tail *Tail
 
 	mu      sync.Mutex
-	office  Office
+	leader  Leader
 	entries map[string]string
 	changed chan struct{}
 }
@@ -45,8 +45,8 @@
 			d.entries[name] = string(r.Value)
 			continue
 		}
-		if o, err := decodeOffice(r.Value); r.Key == officeKey && err == nil && o.Term >= d.office.Term {
-			d.office = o
+		if o, err := decodeLeader(r.Value); r.Key == leaderKey && err == nil && o.Term >= d.leader.Term {
+			d.leader = o
 		}
 	}
 	if len(n.Records) > 0 {
@@ -56,21 +56,21 @@
 }
 
 // Learn takes over who is the dispatcher from another source.
-func (d *Directory) Learn(o Office) {
+func (d *Directory) Learn(o Leader) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if o.Term > d.office.Term {
-		d.office = o
+	if o.Term > d.leader.Term {
+		d.leader = o
 		close(d.changed)
 		d.changed = make(chan struct{})
 	}
 }
 
-// Office returns who is the dispatcher, as far as is known.
-func (d *Directory) Office() Office {
+// Leader returns who is the dispatcher, as far as is known.
+func (d *Directory) Leader() Leader {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.office
+	return d.leader
 }
 
 // Changed is closed at the next change.
@@ -97,9 +97,9 @@
 	announce(ctx, log, record, Condition{})
 }
 
-// AnnounceOffice says who is the dispatcher, and tries until that is kept or a later term has been announced.
-func AnnounceOffice(ctx context.Context, log Log, o Office) {
-	record, err := OfficeRecord(o)
+// AnnounceLeader says who is the dispatcher, and tries until that is kept or a later term has been announced.
+func AnnounceLeader(ctx context.Context, log Log, o Leader) {
+	record, err := LeaderRecord(o)
 	if err == nil {
 		announce(ctx, log, record, Condition{Producer: TermOf(o.Term, 0)})
 	}
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -249,11 +249,11 @@
 }
 
 // TestClaims: the log takes the claims of two entries for doubles of one call and answers both with success. Only the one
-// whose claim is read back holds the office.
+// whose claim is read back leads.
 func TestClaims(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
 		for _, name := range []string{"a", "b"} {
-			record, err := jobstore.OfficeRecord(jobstore.Office{Term: 1, Holder: name, Address: name})
+			record, err := jobstore.LeaderRecord(jobstore.Leader{Term: 1, Name: name, Address: name})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -264,10 +264,10 @@
 		r := jobstore.NewReplica(log.Client("c"), zerolog.Nop())
 		go r.Run(ctx)
 		time.Sleep(50 * time.Millisecond)
-		if o, _, _ := r.Office(); o.Holder != "a" {
-			t.Errorf("the holder is %q, want a", o.Holder)
+		if o, _, _ := r.Leader(); o.Name != "a" {
+			t.Errorf("the leader is %q, want a", o.Name)
 		}
-		late, err := jobstore.OfficeRecord(jobstore.Office{Term: 2, Holder: "b", Address: "b"})
+		late, err := jobstore.LeaderRecord(jobstore.Leader{Term: 2, Name: "b", Address: "b"})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -283,19 +283,19 @@
 		go d.Run(ctx)
 		jobstore.AnnounceEntry(ctx, log.Client("b"), "b", "10.0.0.2:1")
 		jobstore.AnnounceEntry(ctx, log.Client("a"), "a", "10.0.0.1:1")
-		jobstore.AnnounceOffice(ctx, log.Client("a"), jobstore.Office{Term: 2, Holder: "a", Address: "10.0.0.1:1"})
-		jobstore.AnnounceOffice(ctx, log.Client("b"), jobstore.Office{Term: 1, Holder: "b", Address: "10.0.0.2:1"})
+		jobstore.AnnounceLeader(ctx, log.Client("a"), jobstore.Leader{Term: 2, Name: "a", Address: "10.0.0.1:1"})
+		jobstore.AnnounceLeader(ctx, log.Client("b"), jobstore.Leader{Term: 1, Name: "b", Address: "10.0.0.2:1"})
 		time.Sleep(50 * time.Millisecond)
 		if got := d.Entries(); len(got) != 2 || got[0] != "10.0.0.1:1" {
 			t.Errorf("entries are %v", got)
 		}
-		if got := d.Office(); got.Term != 2 {
-			t.Errorf("the office is %+v; a former holder must not replace it", got)
+		if got := d.Leader(); got.Term != 2 {
+			t.Errorf("the leader is %+v; a former leader must not replace it", got)
 		}
-		d.Learn(jobstore.Office{Term: 1, Address: "old"})
-		d.Learn(jobstore.Office{Term: 3, Address: "new"})
-		if got := d.Office(); got.Address != "new" {
-			t.Errorf("the office is %+v", got)
+		d.Learn(jobstore.Leader{Term: 1, Address: "old"})
+		d.Learn(jobstore.Leader{Term: 3, Address: "new"})
+		if got := d.Leader(); got.Address != "new" {
+			t.Errorf("the leader is %+v", got)
 		}
 	})
 }
--- a/jobstore/log.go
+++ b/jobstore/log.go
@@ -1,9 +1,9 @@
 // Package jobstore keeps what must last about jobs in one keyed topic of a log that others run: submissions, cancels, the
-// progress of each job, and who is the dispatcher in office.
+// progress of each job, and who is the leader.
 //
 // The newest record of each key counts. A Replica follows the topic and holds the newest record of each key; it says how
 // old its proof is that nothing newer exists. All writers are told apart by their keys: any entry writes submissions and
-// cancels, only the dispatcher in office writes progress. The log shuts out the writes of a dispatcher that has been
+// cancels, only the leader writes progress. The log shuts out the writes of a dispatcher that has been
 // succeeded, because they carry its term.
 //
 // # Usage
--- a/jobstore/records.go
+++ b/jobstore/records.go
@@ -13,17 +13,17 @@
 	submissionPrefix = "j/"
 	cancelPrefix     = "c/"
 	progressPrefix   = "s/"
-	officeKey        = "d"
+	leaderKey        = "d"
 )
 
 // producerName is the name under which dispatchers write; terms order them.
 const producerName = "dispatcher"
 
-// Office says who is the dispatcher.
-type Office struct {
+// Leader says who is the dispatcher.
+type Leader struct {
 	Term int64 `json:"term"`
-	// Holder names one life of an entry; it is empty when the office was given up.
-	Holder string `json:"holder"`
+	// Name names one life of an entry; it is empty when leadership was given up.
+	Name string `json:"holder"`
 	// Address is where agents reach the dispatcher, such as 10.1.0.19:7000.
 	Address string `json:"address"`
 }
@@ -52,10 +52,10 @@
 	}
 }
 
-// OfficeRecord stores who is the dispatcher.
-func OfficeRecord(o Office) (Record, error) {
+// LeaderRecord stores who is the dispatcher.
+func LeaderRecord(o Leader) (Record, error) {
 	value, err := json.Marshal(o)
-	return Record{Key: officeKey, Value: value}, err
+	return Record{Key: leaderKey, Value: value}, err
 }
 
 // TermOf returns the producer of a dispatcher's term.
@@ -63,10 +63,10 @@
 	return &Producer{Name: producerName, Epoch: term, Sequence: sequence}
 }
 
-func decodeOffice(value []byte) (Office, error) {
-	var o Office
+func decodeLeader(value []byte) (Leader, error) {
+	var o Leader
 	if err := json.Unmarshal(value, &o); err != nil {
-		return o, fmt.Errorf("jobstore.decodeOffice: %w", err)
+		return o, fmt.Errorf("jobstore.decodeLeader: %w", err)
 	}
 	return o, nil
 }
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -32,7 +32,7 @@
 
 	mu     sync.Mutex
 	jobs   map[job.ID]*entry
-	office Office
+	leader Leader
 	next   int64
 	proof  time.Time
 	// watching is since when proofs have followed one another without a gap.
@@ -101,10 +101,10 @@
 }
 
 func (r *Replica) applyOne(s Stored) {
-	if s.Key == officeKey {
-		o, err := decodeOffice(s.Value)
-		if err == nil && o.Term >= r.office.Term {
-			r.office, r.sign = o, time.Now()
+	if s.Key == leaderKey {
+		o, err := decodeLeader(s.Value)
+		if err == nil && o.Term >= r.leader.Term {
+			r.leader, r.sign = o, time.Now()
 		}
 		return
 	}
@@ -176,11 +176,11 @@
 	return time.Since(r.watching)
 }
 
-// Office returns who is the dispatcher, when a sign of it was last seen, and the offset up to which this is known.
-func (r *Replica) Office() (o Office, sign time.Time, next int64) {
+// Leader returns who is the dispatcher, when a sign of it was last seen, and the offset up to which this is known.
+func (r *Replica) Leader() (o Leader, sign time.Time, next int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.office, r.sign, r.next
+	return r.leader, r.sign, r.next
 }
 
 // Phase returns the phase of a job, and false if none is known under the ID.
--- a/jobtest/recovery_test.go
+++ b/jobtest/recovery_test.go
@@ -30,15 +30,15 @@
 	})
 }
 
-// holder returns the entry that holds the office.
-func (s *system) holder() *process {
+// leader returns the entry that leads.
+func (s *system) leader() *process {
 	s.t.Helper()
 	for _, e := range s.entries {
-		if office, _, _ := e.replica.Office(); office.Address == e.name {
+		if leader, _, _ := e.replica.Leader(); leader.Address == e.name {
 			return e
 		}
 	}
-	s.t.Fatal("nobody holds the office")
+	s.t.Fatal("nobody leads")
 	return nil
 }
 
@@ -86,7 +86,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			within(t, func(t *testing.T, s *system) {
-				lost := s.holder()
+				lost := s.leader()
 				test.lose(s, lost)
 				// Polls that were held when it was lost are answered yet.
 				time.Sleep(time.Second)
@@ -108,7 +108,7 @@
 	}
 }
 
-// TestOutage: while the log is away for all, the dispatcher keeps the office, work that runs goes on, and after it jobs go
+// TestOutage: while the log is away for all, the dispatcher goes on leading, work that runs goes on, and after it jobs go
 // on at once.
 func TestOutage(t *testing.T) {
 	within(t, func(t *testing.T, s *system) {
@@ -116,13 +116,13 @@
 		running := s.simpleJob(2, 8*time.Second)
 		s.submit(running, 1)
 		time.Sleep(time.Second)
-		before := s.holder()
+		before := s.leader()
 		s.log.SetFault("", jobtest.Fault{Silent: true})
 		time.Sleep(5500 * time.Millisecond)
 		s.log.SetFault("", jobtest.Fault{})
 		time.Sleep(2 * time.Second)
-		if after := s.holder(); after != before {
-			t.Errorf("the office went from %s to %s", before.name, after.name)
+		if after := s.leader(); after != before {
+			t.Errorf("leadership went from %s to %s", before.name, after.name)
 		}
 		s.completed(running.ID, 5*time.Second)
 		if s.workers.Starts != 2 {
@@ -131,24 +131,24 @@
 	})
 }
 
-// TestResign: an entry that leaves as planned gives the office up, and another one has it at once. The leaving one, which
+// TestResign: an entry that leaves as planned gives leadership up, and another one leads at once. The leaving one, which
 // goes on reading for some seconds, must not claim it again.
 func TestResign(t *testing.T) {
 	for seed := range 5 {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			within(t, func(t *testing.T, s *system) {
 				time.Sleep(time.Duration(seed) * 70 * time.Millisecond)
-				leaving := s.holder()
+				leaving := s.leader()
 				began := time.Now()
 				leaving.dispatcher.Resign()
 				j := s.simpleJob(2, time.Second)
 				s.submit(j, 1)
 				s.completed(j.ID, 20*time.Second)
 				if took := time.Since(began); took > 3*time.Second {
-					t.Errorf("a job of a second is completed %v after the office was given up", took)
+					t.Errorf("a job of a second is completed %v after leadership was given up", took)
 				}
-				if s.holder() == leaving {
-					t.Errorf("%s holds the office again", leaving.name)
+				if s.leader() == leaving {
+					t.Errorf("%s leads again", leaving.name)
 				}
 			})
 		})
@@ -163,7 +163,7 @@
 		j := s.simpleJob(2, 2*time.Second)
 		s.submit(j, 1)
 		time.Sleep(500 * time.Millisecond)
-		lost := s.holder().life
+		lost := s.leader().life
 		for _, p := range append(slices.Clone(s.entries), s.agents...) {
 			s.network.Kill("http://" + p.name)
 			p.cancel()
@@ -179,8 +179,8 @@
 			s.startAgent(i)
 		}
 		time.Sleep(300 * time.Millisecond)
-		if office, _, _ := s.entries[0].replica.Office(); office.Term != 2 || lost != 1 {
-			t.Errorf("0.3 s after the start the office is %+v, want one of term 2", office)
+		if leader, _, _ := s.entries[0].replica.Leader(); leader.Term != 2 || lost != 1 {
+			t.Errorf("0.3 s after the start the leader is %+v, want one of term 2", leader)
 		}
 		s.completed(j.ID, 4*time.Second)
 	})
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -139,13 +139,13 @@
 	keeper := jobstore.NewKeeper(log, latency, replica, directory.Entries, p.name, client, logger)
 	p.intake = intake.New(intake.Settings{KeyProof: 5 * time.Second}, intake.Parts{Keeper: keeper, Replica: replica, Catalog: follower, Logger: logger, Metrics: tally.NoopScope})
 	dispatcher := dispatch.New(
-		dispatch.Settings{Holder: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: dispatch.DefaultTiming(lease)},
+		dispatch.Settings{Name: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: dispatch.DefaultTiming(lease)},
 		dispatch.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Latency: latency, Client: client, Peers: directory.Entries, Logger: logger, Metrics: tally.NoopScope},
 	)
 	p.dispatcher = dispatcher
 	r := httprouter.New()
 	r.HandlerFunc(http.MethodPost, assignment.Path, dispatcher.ServePoll)
-	r.HandlerFunc(http.MethodGet, assignment.OfficePath, dispatcher.ServeOffice)
+	r.HandlerFunc(http.MethodGet, assignment.LeaderPath, dispatcher.ServeLeader)
 	r.HandlerFunc(http.MethodPost, assignment.HandoverPath, dispatcher.ServeHandover)
 	r.HandlerFunc(http.MethodPost, jobstore.KeepPath, keeper.ServeKeep)
 	s.network.Attach("http://"+p.name, r)
@@ -165,7 +165,7 @@
 	s.network.Attach("http://"+p.name, http.NotFoundHandler())
 	p.runner = runner.New(
 		runner.Settings{Name: p.name, Agent: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Drift: 0.03},
-		runner.Parts{Worker: s.worker[i], Dispatcher: runner.NewOffice(directory, client), Logger: s.logger.With().Str("agent", p.name).Logger(), Metrics: tally.NoopScope},
+		runner.Parts{Worker: s.worker[i], Dispatcher: runner.NewLeaderClient(directory, client), Logger: s.logger.With().Str("agent", p.name).Logger(), Metrics: tally.NoopScope},
 	)
 	go directory.Run(ctx)
 	go p.runner.Run(ctx)
--- a/runner/office.go
+++ b/runner/leader.go
@@ -24,9 +24,9 @@
 	askPause   = 300 * time.Millisecond
 )
 
-// Office finds the dispatcher in office and carries polls to it: by the directory in the log, by what entries say, and by
+// LeaderClient finds the leader and carries polls to it: by the directory in the log, by what entries say, and by
 // their word when the directory can't be read. It implements Dispatcher.
-type Office struct {
+type LeaderClient struct {
 	directory *jobstore.Directory
 	client    *http.Client
 
@@ -34,19 +34,19 @@
 	asked time.Time
 }
 
-// NewOffice returns the way to the dispatcher.
-func NewOffice(d *jobstore.Directory, client *http.Client) *Office {
-	return &Office{directory: d, client: client}
+// NewLeaderClient returns the way to the leader.
+func NewLeaderClient(d *jobstore.Directory, client *http.Client) *LeaderClient {
+	return &LeaderClient{directory: d, client: client}
 }
 
 // errNobody says that no dispatcher is known.
 var errNobody = errors.New("no dispatcher is known")
 
 // Poll implements Dispatcher.
-func (o *Office) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
-	office, changed := o.directory.Office(), o.directory.Changed()
-	if office.Address == "" {
-		o.ask(ctx)
+func (l *LeaderClient) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
+	leader, changed := l.directory.Leader(), l.directory.Changed()
+	if leader.Address == "" {
+		l.ask(ctx)
 		return assignment.Answer{}, errNobody
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -55,50 +55,50 @@
 		// A poll that waits at a dispatcher that has been succeeded ends.
 		select {
 		case <-changed:
-			if o.directory.Office().Term > office.Term {
+			if l.directory.Leader().Term > leader.Term {
 				cancel()
 			}
 		case <-ctx.Done():
 		}
 	}()
 	var answer assignment.Answer
-	status, err := o.exchange(ctx, http.MethodPost, office.Address, assignment.Path, p, &answer)
+	status, err := l.exchange(ctx, http.MethodPost, leader.Address, assignment.Path, p, &answer)
 	if err != nil {
-		o.ask(ctx)
-		return answer, fault.New("runner.Poll", office.Address, err)
+		l.ask(ctx)
+		return answer, fault.New("runner.Poll", leader.Address, err)
 	}
 	if status != http.StatusOK {
-		o.ask(ctx)
-		return answer, fault.New("runner.Poll", office.Address, fmt.Errorf("status %d", status))
+		l.ask(ctx)
+		return answer, fault.New("runner.Poll", leader.Address, fmt.Errorf("status %d", status))
 	}
 	return answer, nil
 }
 
 // ask asks the entries who the dispatcher is, not too often.
-func (o *Office) ask(ctx context.Context) {
-	o.mu.Lock()
-	early := time.Since(o.asked) < askPause
+func (l *LeaderClient) ask(ctx context.Context) {
+	l.mu.Lock()
+	early := time.Since(l.asked) < askPause
 	if !early {
-		o.asked = time.Now()
+		l.asked = time.Now()
 	}
-	o.mu.Unlock()
+	l.mu.Unlock()
 	if early {
 		return
 	}
-	for _, address := range o.directory.Entries() {
+	for _, address := range l.directory.Entries() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 			defer cancel()
 			var r assignment.Redirect
-			if status, err := o.exchange(ctx, http.MethodGet, address, assignment.OfficePath, nil, &r); err == nil && status == http.StatusOK {
-				o.directory.Learn(jobstore.Office{Term: r.Term, Address: r.Address})
+			if status, err := l.exchange(ctx, http.MethodGet, address, assignment.LeaderPath, nil, &r); err == nil && status == http.StatusOK {
+				l.directory.Learn(jobstore.Leader{Term: r.Term, Address: r.Address})
 			}
 		}()
 	}
 }
 
 // exchange makes one exchange. A redirect is learnt from.
-func (o *Office) exchange(ctx context.Context, method, address, path string, body, out any) (int, error) {
+func (l *LeaderClient) exchange(ctx context.Context, method, address, path string, body, out any) (int, error) {
 	var data []byte
 	if body != nil {
 		var err error
@@ -110,7 +110,7 @@
 	if err != nil {
 		return 0, err
 	}
-	response, err := o.client.Do(request)
+	response, err := l.client.Do(request)
 	if err != nil {
 		return 0, err
 	}
@@ -122,7 +122,7 @@
 	if response.StatusCode == http.StatusConflict {
 		var r assignment.Redirect
 		if json.Unmarshal(answer, &r) == nil {
-			o.directory.Learn(jobstore.Office{Term: r.Term, Address: r.Address})
+			l.directory.Learn(jobstore.Leader{Term: r.Term, Address: r.Address})
 		}
 		return response.StatusCode, nil
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -28,7 +28,7 @@
 
 // Dispatcher finds the dispatcher and carries polls to it.
 type Dispatcher interface {
-	// Poll carries a poll to the dispatcher in office and returns its answer.
+	// Poll carries a poll to the leader and returns its answer.
 	Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error)
 }
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -18,8 +18,8 @@
 
 const lease = 6 * time.Second
 
-// office is a dispatcher that wants what a test tells it to want.
-type office struct {
+// leader is a dispatcher that wants what a test tells it to want.
+type leader struct {
 	mu     sync.Mutex
 	answer assignment.Answer
 	heard  bool
@@ -28,7 +28,7 @@
 }
 
 // Poll implements runner.Dispatcher. What a poll does not name and is wanted is started.
-func (o *office) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
+func (o *leader) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
 	o.mu.Lock()
 	o.polls = append(o.polls, p)
 	o.mu.Unlock()
@@ -53,14 +53,14 @@
 	return a, nil
 }
 
-func (o *office) set(f func(a *assignment.Answer)) {
+func (o *leader) set(f func(a *assignment.Answer)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	f(&o.answer)
 }
 
 // last is the newest poll.
-func (o *office) last() assignment.Poll {
+func (o *leader) last() assignment.Poll {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	newest := o.polls[0]
@@ -74,7 +74,7 @@
 
 // agent is a runner beside a stand-in worker.
 type agent struct {
-	office  *office
+	leader  *leader
 	workers *jobtest.Workers
 	worker  *jobtest.Worker
 	runner  *runner.Runner
@@ -87,11 +87,11 @@
 func within(t *testing.T, f func(t *testing.T, a *agent)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		a := &agent{workers: jobtest.NewWorkers(1), office: &office{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds()}}}
+		a := &agent{workers: jobtest.NewWorkers(1), leader: &leader{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds()}}}
 		a.workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: job.Need{Accelerators: 1}}}})
 		a.worker = a.workers.Add("w", "s", "r", job.Need{Accelerators: 2})
 		a.runner = runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03},
-			runner.Parts{Worker: a.worker, Dispatcher: a.office, Logger: zerolog.Nop(), Metrics: tally.NoopScope})
+			runner.Parts{Worker: a.worker, Dispatcher: a.leader, Logger: zerolog.Nop(), Metrics: tally.NoopScope})
 		go a.workers.Run(ctx)
 		go a.runner.Run(ctx)
 		life, _ := a.worker.Beat()
@@ -108,24 +108,24 @@
 
 func TestRun(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
-		a.office.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
 		time.Sleep(500 * time.Millisecond)
-		if p := a.office.last(); len(p.Runs) != 1 || p.Runs[0].RunID != id(1) {
+		if p := a.leader.last(); len(p.Runs) != 1 || p.Runs[0].RunID != id(1) {
 			t.Errorf("the runs are %+v", p.Runs)
 		}
-		a.office.set(func(answer *assignment.Answer) { answer.Start = nil })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start = nil })
 		time.Sleep(4 * time.Second)
-		p := a.office.last()
+		p := a.leader.last()
 		if len(p.Runs) != 0 || len(p.Ends) != 1 || p.Ends[0].How != job.EndDone {
 			t.Errorf("after its work: runs %+v, ends %+v", p.Runs, p.Ends)
 		}
 		time.Sleep(3 * time.Second)
-		if a.workers.AllDone(task.Job) && len(a.office.last().Ends) != 1 {
+		if a.workers.AllDone(task.Job) && len(a.leader.last().Ends) != 1 {
 			t.Error("an end that is not kept was forgotten")
 		}
-		a.office.set(func(answer *assignment.Answer) { answer.Seen = 1 })
+		a.leader.set(func(answer *assignment.Answer) { answer.Seen = 1 })
 		time.Sleep(time.Second)
-		if p := a.office.last(); len(p.Ends) != 0 || p.Seen != 1 {
+		if p := a.leader.last(); len(p.Ends) != 0 || p.Seen != 1 {
 			t.Errorf("a kept end is still told: %+v", p.Ends)
 		}
 	})
@@ -135,11 +135,11 @@
 func TestLeaseEnds(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
 		a.workers.Work = time.Minute
-		a.office.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
 		time.Sleep(500 * time.Millisecond)
-		a.office.mu.Lock()
-		a.office.down = true
-		a.office.mu.Unlock()
+		a.leader.mu.Lock()
+		a.leader.down = true
+		a.leader.mu.Unlock()
 		time.Sleep(time.Second)
 		if !a.workers.AnyRun(task.Job) {
 			t.Error("it ended a second after the dispatcher was gone")
@@ -155,23 +155,23 @@
 func TestSilentWorker(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
 		a.workers.Work = time.Minute
-		a.office.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
 		time.Sleep(500 * time.Millisecond)
-		a.office.set(func(answer *assignment.Answer) { answer.Start = nil })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start = nil })
 		a.worker.SetUnreachable(true)
 		time.Sleep(4 * time.Second)
-		if p := a.office.last(); len(p.Refused) != 0 || !p.Silent {
+		if p := a.leader.last(); len(p.Refused) != 0 || !p.Silent {
 			t.Errorf("after 4 s: refused %+v, silent %v", p.Refused, p.Silent)
 		}
 		time.Sleep(6 * time.Second)
-		if p := a.office.last(); len(p.Refused) != 1 || p.Refused[0].RunID != id(1) || len(p.Runs) != 0 {
+		if p := a.leader.last(); len(p.Refused) != 1 || p.Refused[0].RunID != id(1) || len(p.Runs) != 0 {
 			t.Errorf("after 10 s: refused %+v, runs %+v", p.Refused, p.Runs)
 		}
-		a.office.mu.Lock()
-		a.office.heard = true
-		a.office.mu.Unlock()
+		a.leader.mu.Lock()
+		a.leader.heard = true
+		a.leader.mu.Unlock()
 		time.Sleep(3 * time.Second)
-		if p := a.office.last(); len(p.Refused) != 0 {
+		if p := a.leader.last(); len(p.Refused) != 0 {
 			t.Errorf("it is told again after it was heard: %+v", p.Refused)
 		}
 	})
@@ -191,12 +191,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			within(t, func(t *testing.T, a *agent) {
 				a.workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: test.room}}})
-				a.office.set(test.answer)
+				a.leader.set(test.answer)
 				time.Sleep(2 * time.Second)
-				if p := a.office.last(); len(p.Refused) != 1 || p.Refused[0].RunID != id(1) {
+				if p := a.leader.last(); len(p.Refused) != 1 || p.Refused[0].RunID != id(1) {
 					t.Errorf("refused: %+v", p.Refused)
 				}
-				a.office.set(func(answer *assignment.Answer) {
+				a.leader.set(func(answer *assignment.Answer) {
 					*answer = assignment.Answer{Term: 1, Fence: 1, LeaseMillis: 6000, Start: []assignment.Start{{RunID: id(1)}}}
 				})
 				time.Sleep(2 * time.Second)
@@ -252,7 +252,7 @@
 		workers.Work, workers.FailureShare = 200*time.Millisecond, 0
 		workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: job.Need{Accelerators: 1}}}})
 		worker := workers.Add("w", "s", "r", job.Need{Accelerators: 2})
-		o := &office{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds(), Start: []assignment.Start{{RunID: id(1)}}}}
+		o := &leader{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds(), Start: []assignment.Start{{RunID: id(1)}}}}
 		r := runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03}, runner.Parts{
 			Worker: &lossy{Worker: worker, started: map[assignment.RunID]bool{}}, Dispatcher: o, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
 		})
@@ -280,14 +280,14 @@
 // TestOtherTerm: an agent does not go back to a dispatcher of a lower term.
 func TestOtherTerm(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
-		a.office.set(func(answer *assignment.Answer) { answer.Term, answer.Fence = 5, 50 })
+		a.leader.set(func(answer *assignment.Answer) { answer.Term, answer.Fence = 5, 50 })
 		time.Sleep(time.Second)
-		a.office.set(func(answer *assignment.Answer) {
+		a.leader.set(func(answer *assignment.Answer) {
 			answer.Term, answer.Fence = 4, 99
 			answer.Start = []assignment.Start{{RunID: id(1)}}
 		})
 		time.Sleep(2 * time.Second)
-		if p := a.office.last(); p.Term != 5 || len(p.Runs) != 0 {
+		if p := a.leader.last(); p.Term != 5 || len(p.Runs) != 0 {
 			t.Errorf("the term is %d and the runs are %+v", p.Term, p.Runs)
 		}
 	})
@@ -296,9 +296,9 @@
 // TestNewLife: a life that is over is told, and its runs are forgotten.
 func TestNewLife(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
-		a.office.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
 		time.Sleep(500 * time.Millisecond)
-		a.office.set(func(answer *assignment.Answer) { answer.Start = nil })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start = nil })
 		old, _ := a.worker.Beat()
 		a.worker.Crash(time.Millisecond)
 		time.Sleep(50 * time.Millisecond)
@@ -307,7 +307,7 @@
 			t.Error("the new life must be taken and the old one not")
 		}
 		time.Sleep(time.Second)
-		if p := a.office.last(); p.Life.ID != life.ID || len(p.Runs) != 0 || len(p.Over) != 1 || p.Over[0] != old.ID {
+		if p := a.leader.last(); p.Life.ID != life.ID || len(p.Runs) != 0 || len(p.Over) != 1 || p.Over[0] != old.ID {
 			t.Errorf("life %s, runs %+v, over %v", p.Life.ID, p.Runs, p.Over)
 		}
 	})
@@ -331,13 +331,13 @@
 			starts = append(starts, assignment.Start{RunID: filling})
 			roles = append(roles, assignment.Role{RunID: filling, Fills: true})
 		}
-		a.office.set(func(answer *assignment.Answer) { answer.Start, answer.Roles = starts, roles })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start, answer.Roles = starts, roles })
 		time.Sleep(10 * time.Second)
 		if got := a.worker.Paces(); len(got) != 3 || got[0] >= 100 || got[0] != got[2] {
 			t.Errorf("what fills works at %v, want three equal paces below 100", got)
 		}
 		time.Sleep(time.Minute)
-		a.office.set(func(answer *assignment.Answer) { answer.Start, answer.Stop = nil, []assignment.RunID{serving} })
+		a.leader.set(func(answer *assignment.Answer) { answer.Start, answer.Stop = nil, []assignment.RunID{serving} })
 		time.Sleep(5 * time.Second)
 		for _, pace := range a.worker.Paces() {
 			if pace != 100 {
