--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -28,7 +28,7 @@
 
 // Handover is a leader's offer of its place: it does not reach the log.
 type Handover struct {
-	Term   int64  `json:"term"`
+	Term int64  `json:"term"`
 	Name string `json:"holder"`
 	// FailingMillis is for how long the leader has not reached the log.
 	FailingMillis int64 `json:"failing_ms"`
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,6 +19,7 @@
 	"yarrowgrade.example/yarrowgrade/dispatch"
 	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/leader"
 	"yarrowgrade.example/yarrowgrade/platform"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -42,8 +44,9 @@
 const drainFor = 2500 * time.Millisecond
 
 type jobEntryCommand struct {
-	Advertise string `help:"IP address and port at which agents and other entries reach this process, if not at its own."`
-	LogLevel  string `help:"Lowest level that is logged: trace, debug, info, warn or error." default:"info"`
+	Advertise string   `help:"IP address and port at which agents and other entries reach this process, if not at its own."`
+	Without   []string `help:"Mechanisms of the decision to switch off, for experiments; see package dispatch." sep:","`
+	LogLevel  string   `help:"Lowest level that is logged: trace, debug, info, warn or error." default:"info"`
 }
 
 // Help implements kong.HelpProvider.
@@ -55,6 +58,10 @@
 	if err != nil {
 		return err
 	}
+	policy, err := dispatch.Policy{}.Without(c.Without...)
+	if err != nil {
+		return fmt.Errorf("without: %w", err)
+	}
 	lines := telemetry.NewWriter(os.Stdout)
 	defer lines.Close(time.Second)
 	t, err := telemetry.New(ctx, telemetry.Settings{Role: "entry", Name: s.Node, Log: lines, Level: c.LogLevel})
@@ -68,7 +75,7 @@
 		}
 		advertised = c.Advertise
 	}
-	e := newJobEntry(s, t, advertised)
+	e := newJobEntry(s, t, advertised, policy)
 	return e.run(ctx)
 }
 
@@ -76,19 +83,19 @@
 type jobEntry struct {
 	settings *platform.Settings
 	// address is where others of the system reach the entry.
-	address    string
-	telemetry  *telemetry.Telemetry
-	announced  jobstore.Log
-	directory  *jobstore.Directory
-	replica    *jobstore.Replica
-	keeper     *jobstore.Keeper
-	catalog    *catalog.Follower
-	intake     *intake.Intake
-	dispatcher *dispatch.Dispatcher
-	leaving    chan struct{}
+	address   string
+	telemetry *telemetry.Telemetry
+	announced jobstore.Log
+	directory *jobstore.Directory
+	replica   *jobstore.Replica
+	keeper    *jobstore.Keeper
+	catalog   *catalog.Follower
+	intake    *intake.Intake
+	candidate *leader.Candidate
+	leaving   chan struct{}
 }
 
-func newJobEntry(s *platform.Settings, t *telemetry.Telemetry, address string) *jobEntry {
+func newJobEntry(s *platform.Settings, t *telemetry.Telemetry, address string, policy dispatch.Policy) *jobEntry {
 	client := newClient(t)
 	store := platform.NewStore(s, client)
 	topic := func(name string) jobstore.Log { return jobstore.Metered(store.Topic(name), t.Metrics) }
@@ -103,11 +110,11 @@
 	e.intake = intake.New(intake.Settings{KeyProof: s.Revoke()}, intake.Parts{
 		Keeper: e.keeper, Replica: e.replica, Catalog: e.catalog, Logger: t.Log, Metrics: t.Metrics,
 	})
-	timing := dispatch.DefaultTiming(s.Hold())
-	timing.Forget = s.Status() + time.Minute
-	e.dispatcher = dispatch.New(
-		dispatch.Settings{Name: s.Node + "/" + uuid.NewString(), Address: address, Timing: timing},
-		dispatch.Parts{
+	decision := dispatch.DefaultSettings()
+	decision.Forget, decision.Policy = s.Status()+time.Minute, policy
+	e.candidate = leader.New(
+		leader.Settings{Name: s.Node + "/" + uuid.NewString(), Address: address, Timing: leader.DefaultTiming(s.Hold()), Dispatch: decision},
+		leader.Parts{
 			Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Adviser: platform.NewAdvice(s, client),
 			Latency: latency, Client: client, Peers: e.directory.Entries, Logger: t.Log, Metrics: t.Metrics,
 		},
@@ -127,7 +134,7 @@
 	wg.Go(func() { e.replica.Run(running) })
 	wg.Go(func() { e.catalog.Run(running) })
 	wg.Go(func() { e.directory.Run(running) })
-	wg.Go(func() { e.dispatcher.Run(running) })
+	wg.Go(func() { e.candidate.Run(running) })
 	wg.Go(func() {
 		jobstore.AnnounceEntry(running, e.announced, e.settings.Node, e.address)
 	})
@@ -136,7 +143,7 @@
 	<-ctx.Done()
 	e.telemetry.Log.Info().Str("step", "stop").Msg("entry leaves")
 	close(e.leaving)
-	e.dispatcher.Resign()
+	e.candidate.Resign()
 	for _, server := range servers {
 		server.SetKeepAlivesEnabled(false)
 	}
@@ -155,10 +162,10 @@
 // listen opens the listeners of callers, of the platform's look at readiness, and of agents.
 func (e *jobEntry) listen() ([]*http.Server, error) {
 	inner := httprouter.New()
-	inner.HandlerFunc(http.MethodPost, assignment.Path, e.dispatcher.ServePoll)
+	inner.HandlerFunc(http.MethodPost, assignment.Path, e.candidate.ServePoll)
 	inner.HandlerFunc(http.MethodPost, jobstore.KeepPath, e.keeper.ServeKeep)
-	inner.HandlerFunc(http.MethodGet, assignment.LeaderPath, e.dispatcher.ServeLeader)
-	inner.HandlerFunc(http.MethodPost, assignment.HandoverPath, e.dispatcher.ServeHandover)
+	inner.HandlerFunc(http.MethodGet, assignment.LeaderPath, e.candidate.ServeLeader)
+	inner.HandlerFunc(http.MethodPost, assignment.HandoverPath, e.candidate.ServeHandover)
 	intake.NewOperators(e.replica).Register(inner)
 	inner.Handler(http.MethodGet, "/metrics", e.telemetry.MetricsHandler)
 	handlers := map[string]http.Handler{
--- a/cmd/yarrowgraded/metrics_test.go
+++ b/cmd/yarrowgraded/metrics_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"yarrowgrade.example/yarrowgrade/dispatch"
 	"yarrowgrade.example/yarrowgrade/platform"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -55,7 +56,9 @@
 		}
 	}
 	starts := map[string]func(*platform.Settings, *telemetry.Telemetry){
-		"entry": func(s *platform.Settings, t *telemetry.Telemetry) { newJobEntry(s, t, "127.0.0.1:7000") },
+		"entry": func(s *platform.Settings, t *telemetry.Telemetry) {
+			newJobEntry(s, t, "127.0.0.1:7000", dispatch.Policy{})
+		},
 		"agent": func(s *platform.Settings, t *telemetry.Telemetry) { newJobAgent(s, t) },
 	}
 	for role, start := range starts {
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -44,7 +44,7 @@
 type advice struct {
 	adviser Adviser
 	logger  zerolog.Logger
-	answers chan advised
+	answers chan Advised
 	busy    bool
 	// known holds for each step what was said of a life; a missing life was not asked about.
 	known map[string]map[string]word
@@ -56,8 +56,8 @@
 	until time.Time
 }
 
-// advised is the answer to a call.
-type advised struct {
+// Advised is the answer to a call to the adviser.
+type Advised struct {
 	step    string
 	asked   []string
 	tickets []Ticket
@@ -67,7 +67,7 @@
 }
 
 func newAdvice(adviser Adviser, logger zerolog.Logger) *advice {
-	return &advice{adviser: adviser, logger: logger, answers: make(chan advised, 1), known: map[string]map[string]word{}}
+	return &advice{adviser: adviser, logger: logger, answers: make(chan Advised, 1), known: map[string]map[string]word{}}
 }
 
 // ticket returns a ticket that still holds.
@@ -96,7 +96,7 @@
 	a.busy = true
 	lives = lives[:min(len(lives), adviceBatch)]
 	go func() {
-		answer := advised{step: step, asked: lives, sent: time.Now()}
+		answer := Advised{step: step, asked: lives, sent: time.Now()}
 		attempt, cancel := context.WithTimeout(ctx, adviceTimeout)
 		defer cancel()
 		answer.tickets, answer.valid, answer.err = a.adviser.Advise(attempt, step, lives)
@@ -112,7 +112,7 @@
 }
 
 // take takes an answer over.
-func (a *advice) take(answer advised) {
+func (a *advice) take(answer Advised) {
 	a.busy = false
 	if answer.err != nil {
 		a.logger.Warn().Str("step", "dispatch.advice").Str("about", answer.step).Err(answer.err).Msg("no advice")
--- a/dispatch/control.go
+++ b/dispatch/controller.go
@@ -1,7 +1,23 @@
+// Package dispatch decides which task runs on which worker: jobs and workers' reports in, runs out. It knows no terms, leases
+// or polls, and calls nobody but the adviser; package leader drives it.
+//
+// A Controller holds what is known of jobs and workers. A plan is one decision, made anew each time: who waits, in which
+// order, where each unit fits, and what has to stop for it. It is noted in the jobs' progress, which the caller keeps before
+// it tells the workers.
+//
+// Each mechanism of the decision can be switched off by the Policy, for experiments.
+//
+// # Usage
+//
+//	c := dispatch.New(settings, parts)
+//	c.Take(view)                     // a job of the store
+//	c.Report(now, poll)              // what a worker's agent says
+//	c.Plan(ctx, now)
+//	records, err := c.Changes(now)   // to be kept
+//	wants := c.Wants(now)            // to be told, once they are kept
 package dispatch
 
 import (
-	"context"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,8 +40,8 @@
 	took map[int]time.Duration
 	// failedOn is when a run of the job last failed on a worker.
 	failedOn map[string]time.Time
-	// cleared is when work was last told to stop for a unit, by its first task.
-	cleared map[job.TaskName]time.Time
+	// preemptedFor is when work was last told to stop for a unit, by its first task.
+	preemptedFor map[job.TaskName]time.Time
 	// waits is why its units were last logged to wait, by their first tasks.
 	waits map[job.TaskName]string
 }
@@ -44,18 +60,21 @@
 	ends int64
 	// silent says that its agent gets no answer from it.
 	silent bool
-	trust  trust
+	health health
 }
 
 func newTracked(j *job.Job) *tracked {
 	return &tracked{
 		job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}, took: map[int]time.Duration{},
-		failedOn: map[string]time.Time{}, cleared: map[job.TaskName]time.Time{}, waits: map[job.TaskName]string{},
+		failedOn: map[string]time.Time{}, preemptedFor: map[job.TaskName]time.Time{}, waits: map[job.TaskName]string{},
 	}
 }
 
 // length predicts how long a task of a step works.
-func (c *control) length(t *tracked, step int) time.Duration {
+func (c *Controller) length(t *tracked, step int) time.Duration {
+	if !c.has(Forecasts) {
+		return t.job.Steps[step].Estimate
+	}
 	if took, ok := t.took[step]; ok {
 		return took
 	}
@@ -63,7 +82,7 @@
 }
 
 // work is what all tasks of a job do, in core-seconds.
-func (c *control) work(t *tracked) float64 {
+func (c *Controller) work(t *tracked) float64 {
 	sum := 0.0
 	for i, s := range t.job.Steps {
 		sum += float64(s.Tasks) * c.length(t, i).Seconds() * weight(s.Need)
@@ -72,7 +91,7 @@
 }
 
 // noteLength takes note of how long a run took that has ended done, unless it went on from a checkpoint.
-func (c *control) noteLength(e assignment.End) {
+func (c *Controller) noteLength(e assignment.End) {
 	t := c.jobs[e.Task.Job]
 	if t == nil || e.How != job.EndDone || e.Took() <= 0 {
 		return
@@ -115,44 +134,58 @@
 	return max(left-now.Sub(o.advanced), 0), true
 }
 
-// control is the state of a leader. One goroutine owns it.
-type control struct {
-	timing  Timing
-	logger  zerolog.Logger
-	catalog *catalog.Follower
-	replica *jobstore.Replica
-	// took is when this entry began to lead.
-	took    time.Time
-	jobs    map[job.ID]*tracked
-	workers map[string]*worker
-	advice  *advice
+// Settings of a controller.
+type Settings struct {
+	Policy Policy
+	// Silent is how long a worker may be silent and still get new work.
+	Silent time.Duration
+	// Forget is how long an ended job is kept.
+	Forget time.Duration
+	// Every is the longest time between two decisions.
+	Every time.Duration
+}
+
+// DefaultSettings decides with all mechanisms on.
+func DefaultSettings() Settings {
+	return Settings{Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute, Every: 400 * time.Millisecond}
+}
+
+// Parts are what a controller works with.
+type Parts struct {
+	Catalog *catalog.Follower
+	// Adviser may be nil where no queue needs advice.
+	Adviser Adviser
+	Logger  zerolog.Logger
+	Metrics *Metrics
+}
+
+// Controller knows the jobs and the workers, and decides what runs where. One goroutine owns it.
+type Controller struct {
+	settings Settings
+	logger   zerolog.Logger
+	catalog  *catalog.Follower
+	jobs     map[job.ID]*tracked
+	workers  map[string]*worker
+	advice   *advice
 	// forecast predicts how long tasks work.
 	forecast *forecast
-	metrics  *metrics
+	metrics  *Metrics
 	// observed is when the room was noted last.
 	observed time.Time
-	// next is when the next pass is due by itself.
+	// next is when the next decision is due by itself.
 	next time.Time
 }
 
-func newControl(timing Timing, parts Parts, m *metrics) *control {
-	return &control{
-		timing: timing, logger: parts.Logger, catalog: parts.Catalog, replica: parts.Replica, took: time.Now(),
-		advice: newAdvice(parts.Adviser, parts.Logger), forecast: newForecast(), metrics: m,
-		jobs: map[job.ID]*tracked{}, workers: map[string]*worker{},
-	}
-}
-
-// load takes all that is stored.
-func (c *control) load(views []jobstore.View) error {
-	for _, v := range views {
-		c.take(v)
+// New returns a controller that knows of no job and no worker.
+func New(s Settings, p Parts) *Controller {
+	return &Controller{
+		settings: s, logger: p.Logger, catalog: p.Catalog, advice: newAdvice(p.Adviser, p.Logger), forecast: newForecast(),
+		metrics: p.Metrics, jobs: map[job.ID]*tracked{}, workers: map[string]*worker{},
 	}
-	return nil
 }
 
-// take takes a job, or news of one, over from the topic.
-func (c *control) take(v jobstore.View) {
+// Take takes a job, or news of one, over from the topic.
+func (c *Controller) Take(v jobstore.View) {
 	t := c.jobs[v.ID]
 	if t == nil {
 		t = c.open(v)
@@ -167,7 +200,7 @@
 	}
 }
 
-func (c *control) open(v jobstore.View) *tracked {
+func (c *Controller) open(v jobstore.View) *tracked {
 	if v.Submission == nil {
 		return nil
 	}
@@ -187,39 +220,33 @@
 	return t
 }
 
-// pass is one round of the control loop: news in, decisions, one append, and then the word to the agents.
-func (c *control) pass(ctx context.Context, t *term, d *desk) error {
-	now := time.Now()
-	for name, poll := range d.take() {
-		c.report(now, c.workerOf(name), poll)
-	}
-	for _, v := range c.replica.Take() {
-		c.take(v)
-	}
-	c.expire(now, d)
-	c.plan(ctx, now)
-	records, err := c.changes(now)
-	if err != nil {
-		return err
-	}
-	if len(records) > 0 {
-		if err := t.write(ctx, records); err != nil {
-			return err
-		}
-	}
-	d.publish(c.publications(now))
-	c.metrics.passTime.RecordDuration(time.Since(now))
+// has reports whether a mechanism decides.
+func (c *Controller) has(m Mechanism) bool { return c.settings.Policy.Has(m) }
+
+// Jobs is how many jobs are known.
+func (c *Controller) Jobs() int { return len(c.jobs) }
+
+// Next is when the next decision is due by itself.
+func (c *Controller) Next() time.Time { return c.next }
+
+// Advice brings answers of the adviser, which are for TakeAdvice.
+func (c *Controller) Advice() <-chan Advised { return c.advice.answers }
+
+// TakeAdvice takes an answer of the adviser over.
+func (c *Controller) TakeAdvice(a Advised) { c.advice.take(a) }
+
+// observeEvery is the time between two looks at the room for the metrics.
+const observeEvery = time.Second
+
+// Observe notes the room in the metrics, now and then.
+func (c *Controller) Observe(now time.Time) {
 	if now.Sub(c.observed) >= observeEvery {
 		c.observed = now
 		c.metrics.observe(c)
 	}
-	return nil
 }
 
-// observeEvery is the time between two looks at the room for the metrics.
-const observeEvery = time.Second
-
-func (c *control) workerOf(name string) *worker {
+func (c *Controller) workerOf(name string) *worker {
 	w := c.workers[name]
 	if w == nil {
 		w = &worker{name: name, runs: map[assignment.RunID]observed{}}
@@ -228,8 +255,9 @@
 	return w
 }
 
-// report takes over what an agent says. Ends come before lives that are over: what has ended done there is done.
-func (c *control) report(now time.Time, w *worker, poll assignment.Poll) {
+// Report takes over what the agent of a worker says. Ends come before lives that are over: what has ended done there is done.
+func (c *Controller) Report(now time.Time, poll assignment.Poll) {
+	w := c.workerOf(poll.Worker)
 	w.heard, w.silent = now, poll.Silent
 	if poll.Life != nil && poll.Listed {
 		c.reportLife(now, w, poll)
@@ -244,7 +272,7 @@
 }
 
 // reportLife takes over what a worker that is there says by its agent.
-func (c *control) reportLife(now time.Time, w *worker, poll assignment.Poll) {
+func (c *Controller) reportLife(now time.Time, w *worker, poll assignment.Poll) {
 	if w.life == nil || w.life.ID != poll.Life.ID {
 		c.newLife(w, poll.Life)
 	}
@@ -265,13 +293,15 @@
 		if c.end(w, assignment.End{RunID: r.RunID, How: job.EndRefused}) {
 			c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Stringer("task", r.Task).Int("run", r.Run).
 				Str("reason", r.Reason).Msg("start refused")
-			w.trust.refused(now)
+			if c.has(Quarantine) {
+				w.health.refused(now)
+			}
 		}
 	}
 }
 
 // newLife ends what the worker's earlier lives ran.
-func (c *control) newLife(w *worker, life *assignment.Life) {
+func (c *Controller) newLife(w *worker, life *assignment.Life) {
 	for _, t := range c.jobs {
 		t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
 			if task.Worker == w.name && task.Life != life.ID {
@@ -280,10 +310,10 @@
 		})
 	}
 	c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Str("life", life.ID).Msg("worker reports")
-	w.life, w.ends, w.runs, w.trust, w.leaves = life, 0, map[assignment.RunID]observed{}, trust{}, time.Time{}
+	w.life, w.ends, w.runs, w.health, w.leaves = life, 0, map[assignment.RunID]observed{}, health{}, time.Time{}
 }
 
-func (c *control) reportRuns(now time.Time, w *worker, poll assignment.Poll) {
+func (c *Controller) reportRuns(now time.Time, w *worker, poll assignment.Poll) {
 	runs := make(map[assignment.RunID]observed, len(poll.Runs))
 	for _, r := range poll.Runs {
 		o, known := w.runs[r.RunID]
@@ -299,20 +329,22 @@
 }
 
 // end takes note of the end of a run on the worker's present life. It returns false if that run is not there.
-func (c *control) end(w *worker, e assignment.End) bool {
+func (c *Controller) end(w *worker, e assignment.End) bool {
 	t := c.jobs[e.Task.Job]
 	if t == nil || !c.endTask(t, e.Task, e.Run, w.life.ID, e.How, e.Saved) {
 		return false
 	}
 	now := time.Now()
-	w.trust.ended(now, e.Task.Job, e.How, e.Took())
+	if c.has(Quarantine) {
+		w.health.ended(now, e.Task.Job, e.How, e.Took())
+	}
 	if e.How == job.EndFailed {
 		t.failedOn[w.name] = now
 	}
 	return true
 }
 
-func (c *control) endTask(t *tracked, name job.TaskName, run int, life string, how job.Ending, saved string) bool {
+func (c *Controller) endTask(t *tracked, name job.TaskName, run int, life string, how job.Ending, saved string) bool {
 	before := t.progress.Phase
 	if !t.progress.End(t.job, name, run, life, how, saved) {
 		return false
@@ -328,43 +360,48 @@
 }
 
 // lose ends all that is placed on a life of a worker.
-func (c *control) lose(name, life, why string) {
+func (c *Controller) lose(name, life, why string) {
 	for _, t := range c.jobs {
 		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
 			if placed.Worker == name && placed.Life == life {
-				c.metrics.lost(why)
-				c.logger.Info().Str("step", "dispatch.lose").Stringer("task", task).Int("run", placed.Run).
-					Str("worker", name).Str("why", why).Msg("run is lost")
-				c.endTask(t, task, placed.Run, life, job.EndLost, "")
+				c.loseRun(t, task, placed, why)
 			}
 		})
 	}
 }
 
-// expire ends what is placed on workers whose lease is surely over: nobody has extended it for long enough. A former
-// leader may have given a lease with a proof from just before this one began to lead.
-func (c *control) expire(now time.Time, d *desk) {
-	earliest := c.took.Add(c.timing.Proof)
+func (c *Controller) loseRun(t *tracked, name job.TaskName, placed *job.Task, why string) {
+	c.metrics.lost(why)
+	c.logger.Info().Str("step", "dispatch.lose").Stringer("task", name).Int("run", placed.Run).
+		Str("worker", placed.Worker).Str("why", why).Msg("run is lost")
+	c.endTask(t, name, placed.Run, placed.Life, job.EndLost, "")
+}
+
+// Placed are the workers on which something is placed.
+func (c *Controller) Placed() map[string]bool {
 	names := map[string]bool{}
-	lives := map[string]map[string]bool{}
 	for _, t := range c.jobs {
-		t.progress.Placed(t.job.ID, func(_ job.TaskName, placed *job.Task) {
-			names[placed.Worker] = true
-			if lives[placed.Worker] == nil {
-				lives[placed.Worker] = map[string]bool{}
+		t.progress.Placed(t.job.ID, func(_ job.TaskName, placed *job.Task) { names[placed.Worker] = true })
+	}
+	return names
+}
+
+// LeaseOver ends all that is placed on workers whose lease is surely over.
+func (c *Controller) LeaseOver(workers map[string]bool) {
+	if len(workers) == 0 {
+		return
+	}
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
+			if workers[placed.Worker] {
+				c.loseRun(t, task, placed, whyLeaseOver)
 			}
-			lives[placed.Worker][placed.Life] = true
 		})
 	}
-	for name := range d.sealOver(names, now, earliest) {
-		for life := range lives[name] {
-			c.lose(name, life, whyLeaseOver)
-		}
-	}
 }
 
-// busy reports whether there is work to do.
-func (c *control) busy() bool {
+// Busy reports whether there is work to do.
+func (c *Controller) Busy() bool {
 	for _, t := range c.jobs {
 		if !t.progress.Phase.Final() || t.progress.AnyPlaced() {
 			return true
@@ -373,8 +410,8 @@
 	return false
 }
 
-// changes returns the records of what has changed, and drops jobs that ended long ago.
-func (c *control) changes(now time.Time) ([]jobstore.Record, error) {
+// Changes returns the records of what has changed, and drops jobs that ended long ago.
+func (c *Controller) Changes(now time.Time) ([]jobstore.Record, error) {
 	var records []jobstore.Record
 	for id, t := range c.jobs {
 		if t.progress.Phase.Final() && t.progress.EndedAt.IsZero() {
@@ -389,7 +426,7 @@
 			t.dirty = false
 			continue
 		}
-		if t.progress.Phase.Final() && now.Sub(t.progress.EndedAt) > c.timing.Forget && !t.progress.AnyPlaced() {
+		if t.progress.Phase.Final() && now.Sub(t.progress.EndedAt) > c.settings.Forget && !t.progress.AnyPlaced() {
 			records = append(records, jobstore.ForgetRecords(id)...)
 			delete(c.jobs, id)
 			c.advice.forget(id)
@@ -398,28 +435,43 @@
 	return records, nil
 }
 
-// publications is what each worker should run.
-func (c *control) publications(now time.Time) map[string]publication {
-	all := make(map[string]publication, len(c.workers))
+// Want is what a life of a worker should run.
+type Want struct {
+	Life string
+	Runs map[job.TaskName]WantedRun
+	// Seen is the number up to which the worker's ends are taken note of.
+	Seen int64
+}
+
+// WantedRun is a run that should be on a worker, or stop there. Its role is nil if it shares nothing in a way of its own.
+type WantedRun struct {
+	Start    assignment.Start
+	Stopping bool
+	Role     *assignment.Role
+}
+
+// Wants is what each worker should run.
+func (c *Controller) Wants(now time.Time) map[string]Want {
+	all := make(map[string]Want, len(c.workers))
 	for name, w := range c.workers {
 		if w.life != nil {
-			all[name] = publication{life: w.life.ID, want: map[job.TaskName]wanted{}, seen: w.ends}
+			all[name] = Want{Life: w.life.ID, Runs: map[job.TaskName]WantedRun{}, Seen: w.ends}
 		}
 	}
 	for _, t := range c.jobs {
 		t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
-			p, ok := all[task.Worker]
-			if !ok || p.life != task.Life {
+			want, ok := all[task.Worker]
+			if !ok || want.Life != task.Life {
 				return
 			}
 			start := assignment.Start{RunID: assignment.RunID{Task: name, Run: task.Run}, Spec: t.job.Spec, Saved: task.Saved}
 			if t.job.Advised {
 				start.Ticket, _ = c.advice.ticket(stepOf(name), task.Life, now)
 			}
-			p.want[name] = wanted{
-				start:    start,
-				stopping: t.stopping[name] == task.Run || t.progress.Phase == job.Cancelled || t.progress.Phase == job.Failed,
-				role:     roleOf(start.RunID, t.job.Steps[name.Step]),
+			want.Runs[name] = WantedRun{
+				Start:    start,
+				Stopping: t.stopping[name] == task.Run || t.progress.Phase == job.Cancelled || t.progress.Phase == job.Failed,
+				Role:     roleOf(start.RunID, t.job.Steps[name.Step]),
 			}
 		})
 	}
@@ -433,9 +485,3 @@
 	}
 	return &assignment.Role{RunID: id, TargetMillis: s.Target.Milliseconds(), Fills: s.Fills}
 }
-
-// sleep is how long the control goroutine may wait for news.
-func (c *control) sleep(written time.Time) time.Duration {
-	wait := min(time.Until(written.Add(c.timing.Renew)), time.Until(c.next))
-	return max(wait, time.Millisecond)
-}
--- a/dispatch/control_test.go
+++ b/dispatch/controller_test.go
@@ -9,7 +9,7 @@
 )
 
 // reported is a poll of the worker on which the only task of a job is placed.
-func (b *bench) reported(t *tracked) (w *worker, id assignment.RunID, poll assignment.Poll) {
+func (b *fixture) reported(t *tracked) (w *worker, id assignment.RunID, poll assignment.Poll) {
 	name := job.TaskName{Job: t.job.ID}
 	task := t.progress.Task(name)
 	w = b.control.workers[task.Worker]
@@ -18,13 +18,13 @@
 
 // TestEndsBeforeOver: what has ended done is done, also if the same poll says that its life is over.
 func TestEndsBeforeOver(t *testing.T) {
-	b := newBench(t, 1, 1)
+	b := newFixture(t, 1, 1)
 	j := b.job(1, "other", job.Step{Tasks: 1})
 	b.plan(0)
 	w, id, poll := b.reported(j)
 	poll.Ends = []assignment.End{{RunID: id, Number: 1, How: job.EndDone}}
 	poll.Over = []string{w.life.ID}
-	b.control.report(b.now, w, poll)
+	b.control.Report(b.now, poll)
 	if j.progress.Phase != job.Completed {
 		t.Errorf("the job is %v, want completed", j.progress.Phase)
 	}
@@ -32,28 +32,28 @@
 
 // TestLateRefusal: a refusal of a run that has ended is passed over, and the worker does not rest for it.
 func TestLateRefusal(t *testing.T) {
-	b := newBench(t, 1, 1)
+	b := newFixture(t, 1, 1)
 	j := b.job(1, "other", job.Step{Tasks: 1})
 	b.plan(0)
 	w, id, poll := b.reported(j)
 	poll.Ends = []assignment.End{{RunID: id, Number: 1, How: job.EndDone}}
 	poll.Refused = []assignment.Refusal{{RunID: id, Reason: "over"}}
-	b.control.report(b.now, w, poll)
-	if j.progress.Phase != job.Completed || w.trust.resting(b.now) {
-		t.Errorf("the job is %v, the worker rests: %v", j.progress.Phase, w.trust.resting(b.now))
+	b.control.Report(b.now, poll)
+	if j.progress.Phase != job.Completed || w.health.quarantined(b.now) {
+		t.Errorf("the job is %v, the worker rests: %v", j.progress.Phase, w.health.quarantined(b.now))
 	}
 }
 
 // TestNewLifeLosesRuns: what ran in an earlier life of a worker is placed again.
 func TestNewLifeLosesRuns(t *testing.T) {
-	b := newBench(t, 1, 1)
+	b := newFixture(t, 1, 1)
 	j := b.job(1, "other", job.Step{Tasks: 1})
 	b.plan(0)
 	w, _, poll := b.reported(j)
 	next := *w.life
 	next.ID = "next"
 	poll.Life = &next
-	b.control.report(b.now, w, poll)
+	b.control.Report(b.now, poll)
 	if got := b.at(j); len(got) != 0 {
 		t.Fatalf("it is still placed on %v", got)
 	}
@@ -65,21 +65,21 @@
 
 // TestNothingOnALifeThatIsOver: between two lives of a worker nothing is placed on it.
 func TestNothingOnALifeThatIsOver(t *testing.T) {
-	b := newBench(t, 1, 1)
+	b := newFixture(t, 1, 1)
 	j := b.job(1, "other", job.Step{Tasks: 1})
 	b.plan(0)
 	w, _, poll := b.reported(j)
 	over := w.life.ID
 	poll.Life, poll.Listed, poll.Over = nil, false, []string{over}
 	for range 3 {
-		b.control.report(b.now, w, poll)
+		b.control.Report(b.now, poll)
 		b.plan(10 * time.Millisecond)
 	}
 	if got := b.at(j); len(got) != 0 {
 		t.Errorf("it is placed on %v, whose life is over", got)
 	}
 	next := &assignment.Life{ID: "next", Service: service, Rack: "r0", Room: job.Need{CPU: 64_000, Memory: 128_000, Accelerators: 8}}
-	b.control.report(b.now, w, assignment.Poll{Worker: w.name, Life: next, Listed: true, Over: []string{over}})
+	b.control.Report(b.now, assignment.Poll{Worker: w.name, Life: next, Listed: true, Over: []string{over}})
 	b.plan(0)
 	if task := j.progress.Task(job.TaskName{Job: j.job.ID}); task.Life != "next" || task.Run != 2 {
 		t.Errorf("run %d is on life %q, want run 2 on the next one", task.Run, task.Life)
--- a/dispatch/trust_test.go
+++ b/dispatch/health_test.go
@@ -9,18 +9,18 @@
 )
 
 // failed lets the only run of a job fail, after it was there for a time, and makes a decision.
-func (b *bench) failed(t *tracked, took time.Duration) {
+func (b *fixture) failed(t *tracked, took time.Duration) {
 	w, id, poll := b.reported(t)
 	poll.Ends = []assignment.End{{RunID: id, Number: w.ends + 1, How: job.EndFailed, TookMillis: took.Milliseconds()}}
 	b.now = time.Now()
-	b.control.report(b.now, w, poll)
+	b.control.Report(b.now, poll)
 	b.plan(0)
 }
 
 // TestQuickFailures: a worker that fails what it starts must not use up the attempts of a job, even if no other has room.
 func TestQuickFailures(t *testing.T) {
 	t.Run("it gets nothing for a while, and the job waits", func(t *testing.T) {
-		b := newBench(t, 1, 1)
+		b := newFixture(t, 1, 1)
 		j := b.job(1, "other", job.Step{Tasks: 1})
 		b.plan(0)
 		b.failed(j, 50*time.Millisecond)
@@ -32,13 +32,13 @@
 		if got := b.at(next); len(got) != 0 {
 			t.Errorf("another job is placed on %v a second later", got)
 		}
-		b.plan(firstRest)
+		b.plan(firstQuarantine)
 		if len(b.at(j))+len(b.at(next)) != 1 {
 			t.Errorf("after its rest %v and %v are placed, want one trial", b.at(j), b.at(next))
 		}
 	})
 	t.Run("another worker takes the job", func(t *testing.T) {
-		b := newBench(t, 1, 2)
+		b := newFixture(t, 1, 2)
 		j := b.job(1, "other", job.Step{Tasks: 1})
 		b.plan(0)
 		first := b.at(j)[0]
@@ -48,7 +48,7 @@
 		}
 	})
 	t.Run("a late failure is the job's own", func(t *testing.T) {
-		b := newBench(t, 1, 1)
+		b := newFixture(t, 1, 1)
 		j := b.job(1, "other", job.Step{Tasks: 1})
 		b.plan(0)
 		b.failed(j, 2*time.Second)
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -9,13 +9,11 @@
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
 
-// metrics are a dispatcher's. Those with a team have a series for each team of the configuration.
-type metrics struct {
-	terms  telemetry.Counters[string]
-	ends     telemetry.Counters[job.Ending]
-	stops    telemetry.Counters[string]
-	losses   telemetry.Counters[string]
-	passTime tally.Histogram
+// Metrics are those of controllers. Those with a team have a series for each team of the configuration.
+type Metrics struct {
+	ends   telemetry.Counters[job.Ending]
+	stops  telemetry.Counters[string]
+	losses telemetry.Counters[string]
 
 	scope   tally.Scope
 	workers tally.Gauge
@@ -26,9 +24,6 @@
 
 // Labels of what is counted. Stops and losses are counted by the first words of why.
 const (
-	leadTaken  = "taken"
-	leadLost   = "lost"
-	leadHandedOver  = "handed_over"
 	stopYields   = "yields"
 	stopStall    = "stalled"
 	stopLeaves   = "worker_leaves"
@@ -40,15 +35,14 @@
 	whyLifeOver  = "its life is over"
 )
 
-func newMetrics(scope tally.Scope) *metrics {
-	m := &metrics{
-		terms: telemetry.NewCounters(scope, "terms", "event", leadTaken, leadLost, leadHandedOver),
+// NewMetrics returns the metrics of a process; all its controllers share them.
+func NewMetrics(scope tally.Scope) *Metrics {
+	m := &Metrics{
 		ends: telemetry.NewCounters(scope, "runs_ended", "how", job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken,
 			job.EndAlone, job.EndLost, job.EndRefused),
-		stops:    telemetry.NewCounters(scope, "runs_stopped", "why", stopYields, stopStall, stopLeaves),
-		losses:   telemetry.NewCounters(scope, "runs_lost", "why", lossLease, lossLife),
-		passTime: telemetry.Times(scope, "pass_time"),
-		scope:    scope, workers: scope.Gauge("workers"), free: scope.Gauge("accelerators_free"),
+		stops:  telemetry.NewCounters(scope, "runs_stopped", "why", stopYields, stopStall, stopLeaves),
+		losses: telemetry.NewCounters(scope, "runs_lost", "why", lossLease, lossLife),
+		scope:  scope, workers: scope.Gauge("workers"), free: scope.Gauge("accelerators_free"),
 		waiting: map[string]tally.Gauge{}, held: map[string]tally.Gauge{},
 	}
 	// Jobs of open queues have no team.
@@ -64,7 +58,7 @@
 )
 
 // stopped counts a run that is told to stop.
-func (m *metrics) stopped(why string) {
+func (m *Metrics) stopped(why string) {
 	switch {
 	case strings.HasPrefix(why, whyYields):
 		m.stops.Inc(stopYields)
@@ -76,7 +70,7 @@
 }
 
 // lost counts a run that is lost.
-func (m *metrics) lost(why string) {
+func (m *Metrics) lost(why string) {
 	if why == whyLeaseOver {
 		m.losses.Inc(lossLease)
 		return
@@ -85,7 +79,7 @@
 }
 
 // observe notes the room and, by team, what waits and what is held.
-func (m *metrics) observe(c *control) {
+func (m *Metrics) observe(c *Controller) {
 	free, workers := 0, 0
 	for _, w := range c.workers {
 		if w.life != nil {
@@ -110,7 +104,7 @@
 }
 
 // byTeam sets a gauge for each team; one that has nothing any more is set to zero.
-func (m *metrics) byTeam(gauges map[string]tally.Gauge, name string, values map[string]int) {
+func (m *Metrics) byTeam(gauges map[string]tally.Gauge, name string, values map[string]int) {
 	for team := range values {
 		if gauges[team] == nil {
 			gauges[team] = m.scope.Tagged(map[string]string{"team": team}).Gauge(name)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -33,10 +33,10 @@
 	need     job.Need
 	stopping bool
 	ends     time.Time
-	// thrown is the work that a stop would throw away, in core-seconds (an accelerator counts as 8 cores); loss is what a
-	// stop costs in all.
-	thrown float64
-	loss   float64
+	// lostWork is the work that a stop would lose, in core-seconds (an accelerator counts as 8 cores); cost is what a stop
+	// costs in all.
+	lostWork float64
+	cost     float64
 }
 
 // waiting is a unit that may start now.
@@ -47,41 +47,45 @@
 	due     time.Time
 	// length is how long a task is expected to work.
 	length time.Duration
-	// assured says that the team's guarantee covers the job; hopeless that it earns nothing any more; late that it can't be
+	// guaranteed says that the team's guarantee covers the job; expired that it is so late that its caller has no use for it any more; late that it can't be
 	// completed in time any more.
-	assured  bool
-	hopeless bool
-	late     bool
-	// clearing says that work was told to stop for it a moment ago: what that frees is not for others.
-	clearing bool
+	guaranteed bool
+	expired    bool
+	late       bool
+	// preempts says that work was told to stop for it a moment ago: what that frees is not for others.
+	preempts bool
 	// work is what all tasks of the job do, in core-seconds.
 	work float64
 }
 
 // plan is one decision: it is made anew in each pass.
 type plan struct {
-	c *control
+	c *Controller
 	// ctx ends with the term; questions to the adviser live in it.
-	ctx     context.Context
-	now     time.Time
-	nodes   []*node
-	racks   map[string][]*node
-	byName  map[string]*node
-	assured map[job.ID]bool
-	held    int
-	// vain holds the searches that found nothing. Room only gets less during a decision, so they would find nothing again.
-	vain map[search]bool
+	ctx        context.Context
+	now        time.Time
+	nodes      []*node
+	racks      map[string][]*node
+	byName     map[string]*node
+	guaranteed map[job.ID]bool
+	held       int
+	// noRoom holds the searches that found nothing. Room only gets less during a decision, so they would find nothing again.
+	noRoom map[search]bool
 }
 
-// plan decides what to start and what to stop, and notes it in the jobs' progress.
-func (c *control) plan(ctx context.Context, now time.Time) {
-	c.next = now.Add(c.timing.Renew)
-	p := &plan{c: c, ctx: ctx, now: now, racks: map[string][]*node{}, byName: map[string]*node{}, vain: map[search]bool{}}
+// Plan decides what to start and what to stop, and notes it in the jobs' progress. Questions to the adviser end with ctx.
+func (c *Controller) Plan(ctx context.Context, now time.Time) {
+	c.next = now.Add(c.settings.Every)
+	p := &plan{c: c, ctx: ctx, now: now, racks: map[string][]*node{}, byName: map[string]*node{}, noRoom: map[search]bool{}}
 	p.addNodes()
 	p.addRuns()
-	p.assured = p.assuredJobs()
-	p.moveStalled()
-	p.evacuate()
+	p.guaranteed = p.guaranteedJobs()
+	if c.has(MoveStalled) {
+		p.moveStalled()
+	}
+	if c.has(Evacuation) {
+		p.evacuate()
+	}
 	for _, w := range p.waiting() {
 		p.place(w)
 	}
@@ -94,8 +98,8 @@
 			continue
 		}
 		n := &node{worker: w, free: w.life.Room, later: w.life.Room}
-		silent := w.silent || p.now.Sub(w.heard) > p.c.timing.Silent
-		n.usable = !silent && !w.life.Leaving && !w.trust.resting(p.now)
+		silent := w.silent || p.now.Sub(w.heard) > p.c.settings.Silent
+		n.usable = !silent && !w.life.Leaving && !w.health.quarantined(p.now)
 		p.nodes = append(p.nodes, n)
 		p.byName[w.name] = n
 		p.racks[w.life.Rack] = append(p.racks[w.life.Rack], n)
@@ -127,7 +131,7 @@
 	}
 	p.alignGangs()
 	for _, n := range p.nodes {
-		if n.trust.doubted() && len(n.runs) > 0 {
+		if n.health.onProbation() && len(n.runs) > 0 {
 			n.usable = false
 		}
 	}
@@ -176,14 +180,16 @@
 	lost := restartCost
 	if !step.Checkpoint {
 		lost += worked
-		r.thrown = worked.Seconds() * weight(step.Need)
+		r.lostWork = worked.Seconds() * weight(step.Need)
 	}
 	// What has been stopped before costs more each time, or it would be stopped again and again.
-	lost += time.Duration(repeatCost * float64(r.run-1) * float64(length))
-	r.loss = lost.Seconds() * weight(step.Need)
+	if p.c.has(RepeatCost) {
+		lost += time.Duration(repeatCost * float64(r.run-1) * float64(length))
+	}
+	r.cost = lost.Seconds() * weight(step.Need)
 }
 
-// Costs of a stop beside the work that it throws away: the time until the task works again, and what is added for each
+// Costs of a stop beside the work that it loses: the time until the task works again, and what is added for each
 // earlier run, as a share of the task's estimate.
 const (
 	restartCost = 500 * time.Millisecond
@@ -193,13 +199,13 @@
 // weight is what a second of a task is worth, in core-seconds.
 func weight(n job.Need) float64 { return float64(n.CPU)/1000 + 8*float64(n.Accelerators) }
 
-// assuredJobs returns the jobs that their team's guarantee covers: those of priority 0 that have not ended, in the order
+// guaranteedJobs returns the jobs that their team's guarantee covers: those of priority 0 that have not ended, in the order
 // in which they came, as long as all of them together need no more than what is guaranteed.
-func (p *plan) assuredJobs() map[job.ID]bool {
+func (p *plan) guaranteedJobs() map[job.ID]bool {
 	c, _ := p.c.catalog.Current()
-	assured := map[job.ID]bool{}
-	if c == nil {
-		return assured
+	guaranteed := map[job.ID]bool{}
+	if c == nil || !p.c.has(Guarantees) {
+		return guaranteed
 	}
 	var urgent []*tracked
 	for _, t := range p.c.jobs {
@@ -213,9 +219,9 @@
 	used := map[string]int{}
 	for _, t := range urgent {
 		used[t.job.Team] += widest(t.job)
-		assured[t.job.ID] = used[t.job.Team] <= c.Guaranteed(t.job.Team)
+		guaranteed[t.job.ID] = used[t.job.Team] <= c.Guaranteed(t.job.Team)
 	}
-	return assured
+	return guaranteed
 }
 
 // widest is the most accelerators that a step of the job takes at once.
@@ -227,12 +233,12 @@
 	return most
 }
 
-// clearingTime is how long the room that stops free is kept for the one they were for: stops take up to 0.9 s on the users'
+// keptFor is how long the room that stops free is kept for the one they were for: stops take up to 0.9 s on the users'
 // sites.
-const clearingTime = 1200 * time.Millisecond
+const keptFor = 1200 * time.Millisecond
 
-// waiting lists what may start now, in the order in which it is looked at: by priority; the assured first, and what earns
-// nothing any more last; then what is due first. Among jobs of priority 0 those come first that may still be in time, and of
+// waiting lists what may start now, in the order in which it is looked at: by priority; the guaranteed first, and what has expired
+// last; then what is due first. Among jobs of priority 0 those come first that may still be in time, and of
 // these the small ones: most of them fit in beside a large one, which waits only a little longer for that.
 func (p *plan) waiting() []waiting {
 	var all []waiting
@@ -250,21 +256,21 @@
 			due := t.job.Objective(u.Round, chain)
 			late := p.now.Sub(due) > 2*due.Sub(t.job.Accepted)
 			all = append(all, waiting{
-				tracked: t, unit: u, step: t.job.Steps[u.Step], due: due, length: p.c.length(t, u.Step), assured: p.assured[id],
-				hopeless: late && t.job.Times == 0 && !t.job.Lasting(),
-				late:     t.job.Priority == 0 && p.now.Add(p.c.length(t, u.Step)).After(due),
-				work:     p.c.work(t), clearing: p.now.Sub(t.cleared[u.Tasks[0]]) < clearingTime,
+				tracked: t, unit: u, step: t.job.Steps[u.Step], due: due, length: p.c.length(t, u.Step), guaranteed: p.guaranteed[id],
+				expired: late && t.job.Times == 0 && !t.job.Lasting(),
+				late:    t.job.Priority == 0 && p.now.Add(p.c.length(t, u.Step)).After(due),
+				work:    p.c.work(t), preempts: p.now.Sub(t.preemptedFor[u.Tasks[0]]) < keptFor,
 			})
 		}
 	}
 	slices.SortFunc(all, func(a, b waiting) int {
 		return cmp.Or(
 			cmp.Compare(a.tracked.job.Priority, b.tracked.job.Priority),
-			compareBool(b.assured, a.assured),
-			compareBool(b.clearing, a.clearing),
-			compareBool(a.hopeless, b.hopeless),
-			compareBool(a.late, b.late),
-			compareWork(a, b),
+			compareBool(b.guaranteed, a.guaranteed),
+			p.compareIf(KeepFreed, compareBool(b.preempts, a.preempts)),
+			p.compareIf(ExpiredLast, compareBool(a.expired, b.expired)),
+			p.compareIf(InTimeFirst, compareBool(a.late, b.late)),
+			p.compareIf(SmallFirst, compareWork(a, b)),
 			a.due.Compare(b.due),
 			cmp.Compare(a.tracked.job.ID, b.tracked.job.ID),
 			cmp.Compare(a.unit.Round, b.unit.Round),
@@ -275,6 +281,14 @@
 	return all
 }
 
+// compareIf is the outcome of a comparison, or no difference if its mechanism is off.
+func (p *plan) compareIf(m Mechanism, outcome int) int {
+	if p.c.has(m) {
+		return outcome
+	}
+	return 0
+}
+
 // compareWork puts the smaller of two jobs of priority 0 first.
 func compareWork(a, b waiting) int {
 	if a.tracked.job.Priority != 0 || b.tracked.job.Priority != 0 {
@@ -335,18 +349,18 @@
 		return
 	}
 	key := searchOf(w)
-	if !p.vain[key] {
+	if !p.noRoom[key] {
 		if at := p.find(w, false); at != nil {
 			p.start(w, at)
 			return
 		}
-		p.vain[key] = true
+		p.noRoom[key] = true
 	}
-	if w.tracked.job.Priority == 0 {
+	if w.tracked.job.Priority == 0 && p.c.has(Preemption) {
 		p.noteWait(w, p.preempt(w))
 		return
 	}
-	if w.step.Gang && p.held < reservations && !w.hopeless {
+	if w.step.Gang && p.held < reservations && !w.expired && p.c.has(Reservations) {
 		p.holdBack(w)
 		p.noteWait(w, "room is held back for it")
 		return
@@ -361,7 +375,7 @@
 	}
 	w.tracked.waits[w.unit.Tasks[0]] = why
 	p.c.logger.Info().Str("step", "dispatch.wait").Stringer("task", w.unit.Tasks[0]).Int("tasks", len(w.unit.Tasks)).
-		Int("priority", w.tracked.job.Priority).Bool("assured", w.assured).Time("due", w.due).Str("why", why).Msg("job waits")
+		Int("priority", w.tracked.job.Priority).Bool("guaranteed", w.guaranteed).Time("due", w.due).Str("why", why).Msg("job waits")
 }
 
 // start notes a new run of the unit.
@@ -374,11 +388,11 @@
 		n.later = n.later.Plus(w.step.Reserved(), -1)
 		r := &running{tracked: w.tracked, name: name, run: run, node: n, need: w.step.Reserved(), ends: p.now.Add(w.length)}
 		n.runs = append(n.runs, r)
-		if n.trust.doubted() {
+		if n.health.onProbation() {
 			n.usable = false
 		}
 		p.c.logger.Info().Str("step", "dispatch.start").Stringer("task", name).Int("run", run).Str("worker", n.name).
-			Str("life", n.life.ID).Int("priority", w.tracked.job.Priority).Bool("assured", w.assured).Dur("estimate_ms", w.step.Estimate).
+			Str("life", n.life.ID).Int("priority", w.tracked.job.Priority).Bool("guaranteed", w.guaranteed).Dur("estimate_ms", w.step.Estimate).
 			Dur("forecast_ms", w.length).
 			Time("due", w.due).Msg("run is placed")
 	}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -20,15 +20,15 @@
 
 const service = "roster"
 
-// bench is a control goroutine's state with workers and jobs that a test puts there.
-type bench struct {
+// fixture is a controller with workers and jobs that a test puts there.
+type fixture struct {
 	t       testing.TB
-	control *control
+	control *Controller
 	now     time.Time
 	number  int
 }
 
-func newBench(t testing.TB, racks, perRack int) *bench {
+func newFixture(t testing.TB, racks, perRack int) *fixture {
 	log := jobtest.NewLog(1)
 	follower := catalog.NewFollower(log.Client("c"), "config", func([]byte) (*catalog.Catalog, error) {
 		c := catalog.Catalog{Version: 1, Teams: []catalog.Team{{Name: "sure", Guaranteed: 16}, {Name: "other"}}}
@@ -43,10 +43,8 @@
 	for c, _ := follower.Current(); c == nil; c, _ = follower.Current() {
 		time.Sleep(time.Millisecond)
 	}
-	b := &bench{t: t, now: time.Now()}
-	b.control = newControl(DefaultTiming(6*time.Second), Parts{
-		Catalog: follower, Logger: zerolog.Nop(), Replica: jobstore.NewReplica(log.Client("r"), zerolog.Nop()),
-	}, newMetrics(tally.NoopScope))
+	b := &fixture{t: t, now: time.Now()}
+	b.control = New(DefaultSettings(), Parts{Catalog: follower, Logger: zerolog.Nop(), Metrics: NewMetrics(tally.NoopScope)})
 	for r := range racks {
 		for w := range perRack {
 			name := fmt.Sprintf("w%d-%d", r, w)
@@ -63,7 +61,7 @@
 }
 
 // job adds a job of one step.
-func (b *bench) job(priority int, team string, s job.Step) *tracked {
+func (b *fixture) job(priority int, team string, s job.Step) *tracked {
 	b.number++
 	if s.Need == (job.Need{}) {
 		s.Need = job.Need{CPU: 8000, Memory: 16_000, Accelerators: 8}
@@ -81,23 +79,23 @@
 }
 
 // plan makes one decision, after a time in which all workers were heard.
-func (b *bench) plan(after time.Duration) {
+func (b *fixture) plan(after time.Duration) {
 	b.now = b.now.Add(after)
 	for _, w := range b.control.workers {
 		w.heard = b.now
 	}
-	b.control.plan(context.Background(), b.now)
+	b.control.Plan(context.Background(), b.now)
 }
 
 // logged lets the control log into a buffer, and returns a count of the lines of an event.
-func (b *bench) logged() func(event string) int {
+func (b *fixture) logged() func(event string) int {
 	var out strings.Builder
 	b.control.logger = zerolog.New(&out)
 	return func(event string) int { return strings.Count(out.String(), event) }
 }
 
 // observe lets workers report the progress of what is placed on them.
-func (b *bench) observe(t *tracked, began time.Time, percent int) {
+func (b *fixture) observe(t *tracked, began time.Time, percent int) {
 	t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
 		id := assignment.RunID{Task: name, Run: task.Run}
 		b.control.workers[task.Worker].runs[id] = observed{percent: percent, since: began, advanced: b.now, baseAt: began}
@@ -105,7 +103,7 @@
 }
 
 // at lists the workers of a job's tasks, by index.
-func (b *bench) at(t *tracked) []string {
+func (b *fixture) at(t *tracked) []string {
 	var names []string
 	for i := range t.job.Steps[0].Tasks {
 		task := t.progress.Task(job.TaskName{Job: t.job.ID, Index: i})
@@ -117,7 +115,7 @@
 }
 
 // finish ends all that is placed of a job.
-func (b *bench) finish(t *tracked, how job.Ending) {
+func (b *fixture) finish(t *tracked, how job.Ending) {
 	t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
 		b.control.endTask(t, name, task.Run, task.Life, how, "")
 	})
@@ -135,7 +133,7 @@
 func TestPlacement(t *testing.T) {
 	small := job.Need{CPU: 4000, Memory: 1000, Accelerators: 1}
 	t.Run("a gang of one rack is not spread while a rack can hold it", func(t *testing.T) {
-		b := newBench(t, 2, 3)
+		b := newFixture(t, 2, 3)
 		blocker := b.job(1, "other", job.Step{Tasks: 1, Estimate: 2 * time.Second})
 		b.plan(0)
 		gang := b.job(1, "other", job.Step{Tasks: 3, Gang: true, SameRack: true})
@@ -155,7 +153,7 @@
 		}
 	})
 	t.Run("a gang that no rack can hold is spread", func(t *testing.T) {
-		b := newBench(t, 2, 2)
+		b := newFixture(t, 2, 2)
 		gang := b.job(1, "other", job.Step{Tasks: 3, Gang: true, SameRack: true})
 		b.plan(0)
 		if got := b.at(gang); len(got) != 3 {
@@ -163,7 +161,7 @@
 		}
 	})
 	t.Run("a gang starts whole or not at all", func(t *testing.T) {
-		b := newBench(t, 1, 3)
+		b := newFixture(t, 1, 3)
 		b.job(1, "other", job.Step{Tasks: 1})
 		b.plan(0)
 		gang := b.job(1, "other", job.Step{Tasks: 3, Gang: true})
@@ -173,7 +171,7 @@
 		}
 	})
 	t.Run("labels", func(t *testing.T) {
-		b := newBench(t, 1, 3)
+		b := newFixture(t, 1, 3)
 		b.control.workers["w0-1"].life.Labels = []string{"b", "r0"}
 		j := b.job(1, "other", job.Step{Tasks: 1, Label: "b"})
 		none := b.job(1, "other", job.Step{Tasks: 1, Label: "c"})
@@ -186,7 +184,7 @@
 		}
 	})
 	t.Run("at most so many on a worker", func(t *testing.T) {
-		b := newBench(t, 1, 3)
+		b := newFixture(t, 1, 3)
 		j := b.job(1, "other", job.Step{Tasks: 5, PerWorker: 1, Need: small})
 		b.plan(0)
 		b.plan(0)
@@ -199,7 +197,7 @@
 		}
 	})
 	t.Run("near its data, for a while", func(t *testing.T) {
-		b := newBench(t, 2, 1)
+		b := newFixture(t, 2, 1)
 		b.job(0, "other", job.Step{Tasks: 1, DataRack: "r1", Estimate: 30 * time.Second})
 		b.plan(0)
 		j := b.job(1, "other", job.Step{Tasks: 1, DataRack: "r1", Estimate: 2 * time.Second})
@@ -213,9 +211,9 @@
 		}
 	})
 	t.Run("what can't take work gets none", func(t *testing.T) {
-		b := newBench(t, 1, 4)
+		b := newFixture(t, 1, 4)
 		b.control.workers["w0-0"].life.Leaving = true
-		b.control.workers["w0-1"].trust.certain(b.now, "x")
+		b.control.workers["w0-1"].health.fault(b.now, "x")
 		b.control.workers["w0-2"].silent = true
 		j := b.job(0, "sure", job.Step{Tasks: 4})
 		b.plan(0)
@@ -224,7 +222,7 @@
 		}
 	})
 	t.Run("filling tasks keep away from those with a target", func(t *testing.T) {
-		b := newBench(t, 1, 2)
+		b := newFixture(t, 1, 2)
 		serves := b.job(1, "other", job.Step{Tasks: 1, Lasts: true, Target: time.Second, Need: small})
 		b.plan(0)
 		fills := b.job(2, "other", job.Step{Tasks: 4, Fills: true, Need: small})
@@ -239,7 +237,7 @@
 		}
 	})
 	t.Run("where no worker is without tasks that serve, filling tasks share one after a while", func(t *testing.T) {
-		b := newBench(t, 1, 1)
+		b := newFixture(t, 1, 1)
 		b.job(1, "other", job.Step{Tasks: 1, Lasts: true, Target: time.Second, Need: small})
 		b.plan(0)
 		fills := b.job(2, "other", job.Step{Tasks: 1, Fills: true, Need: small})
@@ -253,7 +251,7 @@
 		}
 	})
 	t.Run("tasks that serve are spread", func(t *testing.T) {
-		b := newBench(t, 1, 3)
+		b := newFixture(t, 1, 3)
 		b.job(2, "other", job.Step{Tasks: 1, Need: small})
 		b.plan(0)
 		for i := range 3 {
@@ -271,7 +269,7 @@
 		}
 	})
 	t.Run("a task that failed tries another worker", func(t *testing.T) {
-		b := newBench(t, 1, 2)
+		b := newFixture(t, 1, 2)
 		j := b.job(1, "other", job.Step{Tasks: 1, Need: small})
 		b.plan(0)
 		first := b.at(j)[0]
@@ -288,31 +286,31 @@
 	small := job.Need{CPU: 4000, Memory: 1000, Accelerators: 2}
 	tests := []struct {
 		name          string
-		first, second func(b *bench) *tracked
+		first, second func(b *fixture) *tracked
 	}{
 		{
 			"small before large",
-			func(b *bench) *tracked { return b.job(0, "other", job.Step{Tasks: 1}) },
-			func(b *bench) *tracked { return b.job(0, "other", job.Step{Tasks: 1, Need: small}) },
+			func(b *fixture) *tracked { return b.job(0, "other", job.Step{Tasks: 1}) },
+			func(b *fixture) *tracked { return b.job(0, "other", job.Step{Tasks: 1, Need: small}) },
 		},
 		{
 			"in time before late",
-			func(b *bench) *tracked {
+			func(b *fixture) *tracked {
 				late := b.job(0, "other", job.Step{Tasks: 1, Need: small})
 				late.job.Accepted = b.now.Add(-12 * time.Second)
 				return late
 			},
-			func(b *bench) *tracked { return b.job(0, "other", job.Step{Tasks: 1}) },
+			func(b *fixture) *tracked { return b.job(0, "other", job.Step{Tasks: 1}) },
 		},
 		{
 			"guaranteed before small",
-			func(b *bench) *tracked { return b.job(0, "other", job.Step{Tasks: 1, Need: small}) },
-			func(b *bench) *tracked { return b.job(0, "sure", job.Step{Tasks: 1}) },
+			func(b *fixture) *tracked { return b.job(0, "other", job.Step{Tasks: 1, Need: small}) },
+			func(b *fixture) *tracked { return b.job(0, "sure", job.Step{Tasks: 1}) },
 		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := newBench(t, 1, 1)
+			b := newFixture(t, 1, 1)
 			first, second := test.first(b), test.second(b)
 			b.plan(0)
 			if len(b.at(second)) != 1 || len(b.at(first)) != 0 {
@@ -323,7 +321,7 @@
 }
 
 func TestPreemption(t *testing.T) {
-	t.Run("no more work is thrown away than the urgent job is worth", func(t *testing.T) {
+	t.Run("no more work is lostWork away than the urgent job is worth", func(t *testing.T) {
 		tests := []struct {
 			name     string
 			team     string
@@ -338,7 +336,7 @@
 		}
 		for _, test := range tests {
 			t.Run(test.name, func(t *testing.T) {
-				b := newBench(t, 1, 1)
+				b := newFixture(t, 1, 1)
 				victim := b.job(1, "other", job.Step{Tasks: 1, Estimate: 20 * time.Second})
 				b.plan(0)
 				b.now = b.now.Add(test.worked)
@@ -353,7 +351,7 @@
 		}
 	})
 	t.Run("the cheapest yields", func(t *testing.T) {
-		b := newBench(t, 1, 3)
+		b := newFixture(t, 1, 3)
 		old := b.job(2, "other", job.Step{Tasks: 1})
 		saves := b.job(1, "other", job.Step{Tasks: 1, Checkpoint: true})
 		young := b.job(2, "other", job.Step{Tasks: 1})
@@ -369,7 +367,7 @@
 		}
 	})
 	t.Run("what was stopped before yields later", func(t *testing.T) {
-		b := newBench(t, 1, 2)
+		b := newFixture(t, 1, 2)
 		before := b.job(1, "other", job.Step{Tasks: 1, Checkpoint: true})
 		b.plan(0)
 		b.finish(before, job.EndStopped)
@@ -384,7 +382,7 @@
 		}
 	})
 	t.Run("freed room is kept for the one it was freed for", func(t *testing.T) {
-		b := newBench(t, 1, 1)
+		b := newFixture(t, 1, 1)
 		victim := b.job(2, "other", job.Step{Tasks: 1})
 		b.plan(0)
 		urgent := b.job(0, "other", job.Step{Tasks: 1})
@@ -397,7 +395,7 @@
 		}
 	})
 	t.Run("freed room is not for a smaller urgent job that came later", func(t *testing.T) {
-		b := newBench(t, 1, 1)
+		b := newFixture(t, 1, 1)
 		victim := b.job(2, "other", job.Step{Tasks: 1})
 		b.plan(0)
 		large := b.job(0, "other", job.Step{Tasks: 1})
@@ -410,7 +408,7 @@
 		}
 	})
 	t.Run("a whole gang yields, and nothing else", func(t *testing.T) {
-		b := newBench(t, 1, 3)
+		b := newFixture(t, 1, 3)
 		gang := b.job(1, "other", job.Step{Tasks: 2, Gang: true})
 		alone := b.job(1, "other", job.Step{Tasks: 1})
 		b.plan(0)
@@ -424,7 +422,7 @@
 		}
 	})
 	t.Run("a guarantee takes back what others of priority 0 have borrowed", func(t *testing.T) {
-		b := newBench(t, 1, 2)
+		b := newFixture(t, 1, 2)
 		borrower := b.job(0, "other", job.Step{Tasks: 2})
 		b.plan(0)
 		b.observe(borrower, b.now, 10)
@@ -435,7 +433,7 @@
 		}
 	})
 	t.Run("without a guarantee priority 0 does not yield to priority 0", func(t *testing.T) {
-		b := newBench(t, 1, 1)
+		b := newFixture(t, 1, 1)
 		first := b.job(0, "other", job.Step{Tasks: 1})
 		b.plan(0)
 		b.job(0, "other", job.Step{Tasks: 1})
@@ -445,7 +443,7 @@
 		}
 	})
 	t.Run("nothing is stopped for what comes in time by itself", func(t *testing.T) {
-		b := newBench(t, 1, 1)
+		b := newFixture(t, 1, 1)
 		ending := b.job(1, "other", job.Step{Tasks: 1, Estimate: 2 * time.Second})
 		b.plan(0)
 		b.now = b.now.Add(1900 * time.Millisecond)
@@ -458,7 +456,7 @@
 		}
 	})
 	t.Run("what lasts does not yield", func(t *testing.T) {
-		b := newBench(t, 1, 1)
+		b := newFixture(t, 1, 1)
 		lasts := b.job(2, "other", job.Step{Tasks: 1, Lasts: true, Bounded: true})
 		b.plan(0)
 		b.job(0, "sure", job.Step{Tasks: 1})
@@ -468,7 +466,7 @@
 		}
 	})
 	t.Run("a member of a gang that has done its work waits for the others", func(t *testing.T) {
-		b := newBench(t, 1, 3)
+		b := newFixture(t, 1, 3)
 		gang := b.job(1, "other", job.Step{Tasks: 2, Gang: true, Estimate: 4 * time.Second})
 		b.plan(0)
 		began := b.now
@@ -480,7 +478,7 @@
 		}
 	})
 	t.Run("a run that stands still is moved", func(t *testing.T) {
-		b := newBench(t, 1, 2)
+		b := newFixture(t, 1, 2)
 		j := b.job(1, "other", job.Step{Tasks: 1, Estimate: 4 * time.Second})
 		b.plan(0)
 		b.observe(j, b.now, 10)
@@ -497,7 +495,7 @@
 
 // TestEvacuation: off a leaving worker goes what can't end there, what saves its work as late as it can.
 func TestEvacuation(t *testing.T) {
-	b := newBench(t, 1, 1)
+	b := newFixture(t, 1, 1)
 	small := job.Need{CPU: 1000, Memory: 1000, Accelerators: 1}
 	ends := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 2 * time.Second})
 	loses := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second})
@@ -519,7 +517,7 @@
 
 // TestReservation: work that is not urgent does not take the room that a large gang waits for, unless it ends in time.
 func TestReservation(t *testing.T) {
-	b := newBench(t, 1, 2)
+	b := newFixture(t, 1, 2)
 	first := b.job(1, "other", job.Step{Tasks: 1, Estimate: 4 * time.Second})
 	b.plan(0)
 	gang := b.job(1, "other", job.Step{Tasks: 2, Gang: true})
@@ -544,7 +542,7 @@
 // gangs are whole, that bounds for each worker hold, and that no run number comes twice.
 func TestDecisionsAreSound(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		b := newBench(t, rapid.IntRange(1, 3).Draw(rt, "racks"), rapid.IntRange(1, 3).Draw(rt, "workers"))
+		b := newFixture(t, rapid.IntRange(1, 3).Draw(rt, "racks"), rapid.IntRange(1, 3).Draw(rt, "workers"))
 		runs := map[assignment.RunID]string{}
 		for range rapid.IntRange(1, 12).Draw(rt, "events") {
 			for range rapid.IntRange(0, 2).Draw(rt, "jobs") {
@@ -571,7 +569,7 @@
 	})
 }
 
-func (b *bench) checkRoom(rt *rapid.T, runs map[assignment.RunID]string) {
+func (b *fixture) checkRoom(rt *rapid.T, runs map[assignment.RunID]string) {
 	used := map[string]job.Need{}
 	for id, t := range b.control.jobs {
 		perWorker := map[string]int{}
@@ -602,23 +600,23 @@
 
 // BenchmarkPlan is one decision at the size to design for: 1,400 workers and 14,000 tasks, of which 300 wait.
 func BenchmarkPlan(b *testing.B) {
-	bench := newBench(b, 70, 20)
+	fixture := newFixture(b, 70, 20)
 	small := job.Need{CPU: 4000, Memory: 1000}
 	for range 1370 {
-		bench.job(1, "other", job.Step{Tasks: 10, Need: small, Estimate: time.Hour})
+		fixture.job(1, "other", job.Step{Tasks: 10, Need: small, Estimate: time.Hour})
 	}
-	bench.plan(0)
+	fixture.plan(0)
 	for range 30 {
-		bench.job(1, "other", job.Step{Tasks: 10, Need: job.Need{CPU: 4000, Memory: 1000, Accelerators: 9}, Estimate: time.Hour})
+		fixture.job(1, "other", job.Step{Tasks: 10, Need: job.Need{CPU: 4000, Memory: 1000, Accelerators: 9}, Estimate: time.Hour})
 	}
 	for b.Loop() {
-		bench.plan(time.Millisecond)
+		fixture.plan(time.Millisecond)
 	}
 }
 
 // TestWaitsAreLoggedOnce: two units of a job that wait for different reasons are logged once each, not at each pass.
 func TestWaitsAreLoggedOnce(t *testing.T) {
-	b := newBench(t, 1, 1)
+	b := newFixture(t, 1, 1)
 	lines := b.logged()
 	// One unit waits for the job that yields, the other finds nothing that may.
 	b.job(1, "", job.Step{Tasks: 1, Need: job.Need{CPU: 1000, Memory: 1000, Accelerators: 8}})
--- /dev/null
+++ b/dispatch/policy_test.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"strings"
+	"testing"
+
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+func TestPolicy(t *testing.T) {
+	all := Policy{}
+	some, err := all.Without("preemption", "quarantine")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range Mechanisms() {
+		if !all.Has(m) || some.Has(m) == (m == Preemption || m == Quarantine) {
+			t.Errorf("%s: %v, after others were switched off %v", m, all.Has(m), some.Has(m))
+		}
+	}
+	if _, err := all.Without("preemptions"); err == nil || !strings.Contains(err.Error(), `"preemptions"`) || !strings.Contains(err.Error(), "preemption-budget") {
+		t.Errorf("an unknown mechanism gives %v", err)
+	}
+}
+
+// TestWithoutPreemption: an urgent job waits for room when nothing is stopped for it.
+func TestWithoutPreemption(t *testing.T) {
+	b := newFixture(t, 1, 1)
+	var err error
+	if b.control.settings.Policy, err = (Policy{}).Without(string(Preemption)); err != nil {
+		t.Fatal(err)
+	}
+	yields := b.job(2, "", job.Step{Tasks: 1})
+	b.plan(0)
+	b.job(0, "", job.Step{Tasks: 1})
+	b.plan(0)
+	if len(yields.stopping) != 0 {
+		t.Error("work stops for an urgent job")
+	}
+}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -19,7 +19,7 @@
 		p.keep(w, at)
 		return "what was told to stop still ends"
 	}
-	if p.comesInTime(w) {
+	if p.c.has(WaitForRoom) && p.comesInTime(w) {
 		p.holdBack(w)
 		return "room comes in time by itself"
 	}
@@ -27,10 +27,10 @@
 	if domain == nil {
 		return "no room, and nothing yields"
 	}
-	if !w.assured && thrownBy(best) > p.budget(w) {
+	if p.c.has(PreemptionBudget) && !w.guaranteed && lostWorkOf(best) > p.budget(w) {
 		return "what yields would lose more work than this is worth"
 	}
-	w.tracked.cleared[w.unit.Tasks[0]] = p.now
+	w.tracked.preemptedFor[w.unit.Tasks[0]] = p.now
 	for _, r := range best {
 		p.stop(r, whyYields+w.unit.Tasks[0].String())
 	}
@@ -46,7 +46,7 @@
 	worthLate   = 0.5
 )
 
-// budget is how much work may be thrown away for a unit.
+// budget is how much work may be lost for a unit.
 func (p *plan) budget(w waiting) float64 {
 	own := float64(len(w.unit.Tasks)) * w.length.Seconds() * weight(w.step.Need)
 	if w.late {
@@ -55,10 +55,10 @@
 	return worthInTime * own
 }
 
-func thrownBy(runs []*running) float64 {
+func lostWorkOf(runs []*running) float64 {
 	sum := 0.0
 	for _, r := range runs {
-		sum += r.thrown
+		sum += r.lostWork
 	}
 	return sum
 }
@@ -68,9 +68,9 @@
 func (p *plan) cheapest(w waiting) (victims []*running, domain []*node) {
 	least := 0.0
 	for _, d := range p.domains(w) {
-		runs, loss, ok := p.victims(w, d)
-		if ok && (domain == nil || loss < least) {
-			victims, domain, least = runs, d, loss
+		runs, cost, ok := p.victims(w, d)
+		if ok && (domain == nil || cost < least) {
+			victims, domain, least = runs, d, cost
 		}
 	}
 	return victims, domain
@@ -112,7 +112,7 @@
 	r.tracked.stopping[r.name] = r.run
 	r.node.later = r.node.later.Plus(r.need, 1)
 	p.c.logger.Info().Str("step", "dispatch.stop").Stringer("task", r.name).Int("run", r.run).Str("worker", r.node.name).
-		Float64("thrown_core_s", r.thrown).Str("why", why).Msg("run is to stop")
+		Float64("lost_work_core_s", r.lostWork).Str("why", why).Msg("run is to stop")
 }
 
 // yields reports whether a run may be stopped for the unit, and in which order: the higher the sooner.
@@ -123,25 +123,25 @@
 		return 0, false
 	case j.Priority > w.tracked.job.Priority:
 		return j.Priority, true
-	case w.assured && !p.assured[j.ID] && j.ID != w.tracked.job.ID:
+	case w.guaranteed && !p.guaranteed[j.ID] && j.ID != w.tracked.job.ID:
 		return 0, true
 	}
 	return 0, false
 }
 
-// victims are the runs to stop so that the unit fits into the domain, and the work that this throws away. Worker by worker
-// it takes the one that frees room for a task at the least loss.
-func (p *plan) victims(w waiting, domain []*node) (victims []*running, loss float64, ok bool) {
+// victims are the runs to stop so that the unit fits into the domain, and the work that this loses. Worker by worker
+// it takes the one that frees room for a task at the least cost.
+func (p *plan) victims(w waiting, domain []*node) (victims []*running, cost float64, ok bool) {
 	left := len(w.unit.Tasks)
 	stopped := map[*running]bool{}
 	used := map[*node]bool{}
 	for left > 0 {
-		var best clearing
+		var best preemption
 		for _, n := range domain {
 			if used[n] || !n.usable || !allowed(w, n) || !p.hasTicket(w, n) {
 				continue
 			}
-			if c := p.clear(w, n, left, stopped); c.tasks > 0 && c.better(best) {
+			if c := p.preemptOn(w, n, left, stopped); c.tasks > 0 && c.better(best) {
 				best = c
 			}
 		}
@@ -152,36 +152,36 @@
 			stopped[r] = true
 		}
 		victims = append(victims, best.runs...)
-		loss += best.loss
+		cost += best.cost
 		left -= best.tasks
 		used[best.node] = true
 	}
-	return victims, loss, true
+	return victims, cost, true
 }
 
-// clearing is what has to be stopped so that a number of tasks fit on a node.
-type clearing struct {
+// preemption is what has to be stopped so that a number of tasks fit on a node.
+type preemption struct {
 	node  *node
 	tasks int
 	// elsewhere is how many tasks fit on other nodes because gangs stop there too.
 	elsewhere int
 	runs      []*running
-	loss      float64
+	cost      float64
 }
 
-func (c clearing) lossPerTask() float64 { return c.loss / float64(c.tasks+c.elsewhere) }
+func (c preemption) costPerTask() float64 { return c.cost / float64(c.tasks+c.elsewhere) }
 
 // better reports whether c costs less for each task than o, or the same and frees more.
-func (c clearing) better(o clearing) bool {
-	if o.tasks == 0 || c.lossPerTask() != o.lossPerTask() {
-		return o.tasks == 0 || c.lossPerTask() < o.lossPerTask()
+func (c preemption) better(o preemption) bool {
+	if o.tasks == 0 || c.costPerTask() != o.costPerTask() {
+		return o.tasks == 0 || c.costPerTask() < o.costPerTask()
 	}
 	return c.tasks+c.elsewhere > o.tasks+o.elsewhere
 }
 
-// clear looks for the number of tasks, at most as many as given, that costs the least for each on a node. What has been
+// preemptOn looks for the number of tasks, at most as many as given, that costs the least for each on a node. What has been
 // stopped for other nodes costs nothing again.
-func (p *plan) clear(w waiting, n *node, most int, stopped map[*running]bool) clearing {
+func (p *plan) preemptOn(w waiting, n *node, most int, stopped map[*running]bool) preemption {
 	groups := p.groups(w, n, stopped)
 	room := n.later
 	for _, r := range n.runs {
@@ -190,7 +190,7 @@
 		}
 	}
 	most = min(most, bound(w, n))
-	best := clearing{node: n, tasks: count(w.step.Reserved(), room, most)}
+	best := preemption{node: n, tasks: count(w.step.Reserved(), room, most)}
 	if best.tasks > 0 {
 		return best
 	}
@@ -211,8 +211,8 @@
 }
 
 // prune leaves out what need not be stopped after all, the dearest first.
-func (p *plan) prune(w waiting, n *node, tasks int, room job.Need, taken []group) clearing {
-	c := clearing{node: n, tasks: tasks}
+func (p *plan) prune(w waiting, n *node, tasks int, room job.Need, taken []group) preemption {
+	c := preemption{node: n, tasks: tasks}
 	for i := len(taken) - 1; i >= 0; i-- {
 		less := room.Plus(taken[i].here(n), -1)
 		if count(w.step.Reserved(), less, tasks) == tasks {
@@ -220,14 +220,14 @@
 			continue
 		}
 		c.runs = append(c.runs, taken[i].runs...)
-		c.loss += taken[i].loss
+		c.cost += taken[i].cost
 	}
 	c.elsewhere = freedElsewhere(w, c)
 	return c
 }
 
-// freedElsewhere counts the tasks that fit on other nodes once a clearing's runs have stopped, up to what the unit needs.
-func freedElsewhere(w waiting, c clearing) int {
+// freedElsewhere counts the tasks that fit on other nodes once a preemption's runs have stopped, up to what the unit needs.
+func freedElsewhere(w waiting, c preemption) int {
 	room := map[*node]job.Need{}
 	for _, r := range c.runs {
 		if r.node == c.node || !allowed(w, r.node) {
@@ -250,7 +250,7 @@
 type group struct {
 	runs []*running
 	rank int
-	loss float64
+	cost float64
 }
 
 // here is what the group takes on a node.
@@ -274,7 +274,7 @@
 			continue
 		}
 		if !r.tracked.job.Steps[r.name.Step].Gang {
-			groups = append(groups, group{runs: []*running{r}, rank: rank, loss: r.loss})
+			groups = append(groups, group{runs: []*running{r}, rank: rank, cost: r.cost})
 			continue
 		}
 		if first := firstOf(r.name); !gangs[first] {
@@ -283,7 +283,7 @@
 		}
 	}
 	slices.SortStableFunc(groups, func(a, b group) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), -cmp.Compare(a.rank, b.rank))
+		return cmp.Or(cmp.Compare(a.cost, b.cost), -cmp.Compare(a.rank, b.rank))
 	})
 	return groups
 }
@@ -294,7 +294,7 @@
 		for _, r := range n.runs {
 			if r.name.Job == member.name.Job && r.name.Round == member.name.Round && r.name.Step == member.name.Step && !r.stopping {
 				g.runs = append(g.runs, r)
-				g.loss += r.loss
+				g.cost += r.cost
 			}
 		}
 	}
@@ -314,7 +314,7 @@
 // for the others: before they have come, which takes less than a stall, and after its own work is done.
 func (p *plan) moveStalled() {
 	for _, n := range p.nodes {
-		if p.now.Sub(n.heard) > p.c.timing.Silent {
+		if p.now.Sub(n.heard) > p.c.settings.Silent {
 			continue
 		}
 		for _, r := range n.runs {
@@ -325,7 +325,9 @@
 			}
 			if p.now.Sub(o.advanced) > stallAfter(step.Estimate) {
 				p.stop(r, whyStalled)
-				n.trust.certain(p.now, r.name.Job)
+				if p.c.has(Quarantine) {
+					n.health.fault(p.now, r.name.Job)
+				}
 			}
 		}
 	}
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -40,7 +40,7 @@
 	if w.step.DataRack != "" {
 		near := p.racks[w.step.DataRack]
 		waited := p.now.Sub(w.tracked.job.Accepted)
-		if len(near) > 0 && (!w.step.Gang || p.canEverFit(w, near)) && waited < time.Duration(dataPatience*float64(w.step.Estimate)) {
+		if len(near) > 0 && (!w.step.Gang || p.canEverFit(w, near)) && p.c.has(DataPatience) && waited < time.Duration(dataPatience*float64(w.step.Estimate)) {
 			return [][]*node{near}
 		}
 		return [][]*node{near, p.nodes}
@@ -161,7 +161,7 @@
 			candidates = append(candidates, n)
 		}
 	}
-	avoid := avoided(w)
+	avoid := p.avoided(w)
 	serving := servingOn(w, candidates)
 	free := p.freeByRack()
 	slices.SortStableFunc(candidates, func(a, b *node) int {
@@ -169,15 +169,17 @@
 			compareBool(avoid[a.name], avoid[b.name]),
 			compareBool(disturbs(w.step, a), disturbs(w.step, b)),
 			cmp.Compare(serving[a], serving[b]),
-			cmp.Compare(free[a.life.Rack], free[b.life.Rack]),
-			cmp.Compare(room(a).Accelerators, room(b).Accelerators),
-			cmp.Compare(room(a).CPU, room(b).CPU),
+			p.compareIf(FullestFirst, cmp.Or(
+				cmp.Compare(free[a.life.Rack], free[b.life.Rack]),
+				cmp.Compare(room(a).Accelerators, room(b).Accelerators),
+				cmp.Compare(room(a).CPU, room(b).CPU),
+			)),
 		)
 	})
 	var at []*node
 	for _, n := range candidates {
 		most := min(bound(w, n), len(w.unit.Tasks)-len(at))
-		if n.trust.doubted() {
+		if n.health.onProbation() {
 			most = min(most, 1)
 		}
 		for range count(need, room(n), most) {
@@ -225,7 +227,7 @@
 // failedThere reports whether a task of the job failed on the node a short while ago.
 func (p *plan) failedThere(w waiting, n *node) bool {
 	at, ok := w.tracked.failedOn[n.name]
-	return ok && p.now.Sub(at) < avoidFor
+	return p.c.has(AvoidFailed) && ok && p.now.Sub(at) < avoidFor
 }
 
 // hasTicket reports whether the unit has a ticket for the node, or needs none.
@@ -238,8 +240,11 @@
 }
 
 // avoided are the workers on which tasks of the unit have failed.
-func avoided(w waiting) map[string]bool {
+func (p *plan) avoided(w waiting) map[string]bool {
 	avoid := map[string]bool{}
+	if !p.c.has(AvoidFailed) {
+		return avoid
+	}
 	for _, name := range w.unit.Tasks {
 		if t := w.tracked.progress.Task(name); t != nil && t.Avoid != "" {
 			avoid[t.Avoid] = true
--- a/jobtest/recovery_test.go
+++ b/jobtest/recovery_test.go
@@ -140,7 +140,7 @@
 				time.Sleep(time.Duration(seed) * 70 * time.Millisecond)
 				leaving := s.leader()
 				began := time.Now()
-				leaving.dispatcher.Resign()
+				leaving.candidate.Resign()
 				j := s.simpleJob(2, time.Second)
 				s.submit(j, 1)
 				s.completed(j.ID, 20*time.Second)
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -24,6 +24,7 @@
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/jobtest"
+	"yarrowgrade.example/yarrowgrade/leader"
 	"yarrowgrade.example/yarrowgrade/runner"
 )
 
@@ -50,8 +51,8 @@
 	intake *intake.Intake
 	runner *runner.Runner
 	// replica and dispatcher are an entry's.
-	replica    *jobstore.Replica
-	dispatcher *dispatch.Dispatcher
+	replica   *jobstore.Replica
+	candidate *leader.Candidate
 }
 
 // system is the real entries and agents on an in-memory network, log and workers.
@@ -138,21 +139,21 @@
 	latency := replica.Latency()
 	keeper := jobstore.NewKeeper(log, latency, replica, directory.Entries, p.name, client, logger)
 	p.intake = intake.New(intake.Settings{KeyProof: 5 * time.Second}, intake.Parts{Keeper: keeper, Replica: replica, Catalog: follower, Logger: logger, Metrics: tally.NoopScope})
-	dispatcher := dispatch.New(
-		dispatch.Settings{Name: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: dispatch.DefaultTiming(lease)},
-		dispatch.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Latency: latency, Client: client, Peers: directory.Entries, Logger: logger, Metrics: tally.NoopScope},
+	candidate := leader.New(
+		leader.Settings{Name: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: leader.DefaultTiming(lease), Dispatch: dispatch.DefaultSettings()},
+		leader.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Latency: latency, Client: client, Peers: directory.Entries, Logger: logger, Metrics: tally.NoopScope},
 	)
-	p.dispatcher = dispatcher
+	p.candidate = candidate
 	r := httprouter.New()
-	r.HandlerFunc(http.MethodPost, assignment.Path, dispatcher.ServePoll)
-	r.HandlerFunc(http.MethodGet, assignment.LeaderPath, dispatcher.ServeLeader)
-	r.HandlerFunc(http.MethodPost, assignment.HandoverPath, dispatcher.ServeHandover)
+	r.HandlerFunc(http.MethodPost, assignment.Path, candidate.ServePoll)
+	r.HandlerFunc(http.MethodGet, assignment.LeaderPath, candidate.ServeLeader)
+	r.HandlerFunc(http.MethodPost, assignment.HandoverPath, candidate.ServeHandover)
 	r.HandlerFunc(http.MethodPost, jobstore.KeepPath, keeper.ServeKeep)
 	s.network.Attach("http://"+p.name, r)
 	go replica.Run(ctx)
 	go follower.Run(ctx)
 	go directory.Run(ctx)
-	go dispatcher.Run(ctx)
+	go candidate.Run(ctx)
 	go jobstore.AnnounceEntry(ctx, announced, p.name, p.name)
 }
 
--- /dev/null
+++ b/leader/election.go
@@ -0,0 +1,122 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jsonhttp"
+)
+
+// await returns when this entry leads in a term above the one that it has lost. It claims none before the end of the rest.
+func (c *Candidate) await(ctx context.Context, lost int64, rest time.Time) (jobstore.Leader, bool) {
+	drawn := c.settings.Timing.Patience + rand.N(c.settings.Timing.Patience/5)
+	began := time.Now()
+	var claimed, asked time.Time
+	answers := make(chan jobstore.Leader, 1)
+	var gone jobstore.Leader
+	for {
+		if c.resigned() {
+			return jobstore.Leader{}, false
+		}
+		changed := c.parts.Replica.Changed()
+		leader, sign, next := c.parts.Replica.Leader()
+		if leader.Name == c.settings.Name && leader.Term > lost {
+			return leader, true
+		}
+		known := !c.parts.Replica.Proof().IsZero()
+		// After a gap in this entry's own reads the leader gets its time to show itself.
+		if watching := time.Now().Add(-min(c.parts.Replica.Watched(), time.Since(began))); sign.Before(watching) {
+			sign = watching
+		}
+		// While the log is slow, so are the signs.
+		patience := max(drawn, 2*c.parts.Latency.Patience(0))
+		vacant := leader.Name == "" || leader.Term == c.offered.Load() || leader == gone || time.Since(sign) > patience
+		if !vacant && known && c.shouldAsk(sign, asked) {
+			asked = time.Now()
+			go c.askLeader(ctx, leader, answers)
+		}
+		if vacant && known && time.Now().After(rest) && time.Since(claimed) > patience/2 {
+			claimed = time.Now()
+			if err := c.claim(ctx, leader.Term+1, next); errors.Is(err, jobstore.ErrConflict) {
+				// Something else was written meanwhile, perhaps by the leader. Once that has been read, it is looked at again.
+				claimed = time.Time{}
+			}
+		}
+		select {
+		case <-changed:
+		case gone = <-answers:
+		case <-time.After(awaitTick):
+		case <-c.resign:
+			return leader, false
+		case <-ctx.Done():
+			return leader, false
+		}
+	}
+}
+
+// shouldAsk reports whether it is time to ask the leader whether it is still there: at once after this process has started,
+// because after a loss of power the leader may be gone as well, and later when no sign of it has come for a while.
+func (c *Candidate) shouldAsk(sign, asked time.Time) bool {
+	if time.Since(asked) < askTimeout {
+		return false
+	}
+	return asked.IsZero() || time.Since(sign) > c.settings.Timing.Doubt
+}
+
+// askLeader asks the leader whether it is still there, and passes it on as one that is gone if it is not.
+func (c *Candidate) askLeader(ctx context.Context, leader jobstore.Leader, gone chan<- jobstore.Leader) {
+	if !c.leaderIsGone(ctx, leader) {
+		return
+	}
+	select {
+	case gone <- leader:
+	default:
+		// An earlier answer has not been taken yet.
+	}
+}
+
+// leaderIsGone asks the leader whether it is still there. Only an answer of another life, or none because nothing listens
+// there, says that it is not; the leader's silence says nothing.
+func (c *Candidate) leaderIsGone(ctx context.Context, leader jobstore.Leader) bool {
+	if leader.Address == c.settings.Address {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var r assignment.Redirect
+	err := jsonhttp.Call(ctx, c.parts.Client, "leader.ask", http.MethodGet, "http://"+leader.Address, assignment.LeaderPath, nil, &r)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return r.Self != leader.Name
+}
+
+// askTimeout bounds the question to a leader.
+const askTimeout = 300 * time.Millisecond
+
+// awaitTick is how often the silence of the leader is looked at.
+const awaitTick = 100 * time.Millisecond
+
+// claim writes the claim of a term. Whether it counts is seen in the topic alone: the log takes the claims of several
+// entries for doubles of one call, because they carry the same term and number, and answers all of them with success.
+func (c *Candidate) claim(ctx context.Context, term, next int64) error {
+	record, err := jobstore.LeaderRecord(jobstore.Leader{Term: term, Name: c.settings.Name, Address: c.settings.Address})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	condition := jobstore.Condition{At: next, Exact: true, Producer: jobstore.TermOf(term, 0)}
+	offset, err := c.parts.Log.Append(ctx, []jobstore.Record{record}, condition)
+	c.parts.Logger.Info().Str("step", "leader.claim").Int64("term", term).Int64("offset", offset).Err(err).Msg("leadership claimed")
+	return err
+}
+
+// claimTimeout bounds a claim.
+const claimTimeout = 900 * time.Millisecond
--- a/dispatch/handover.go
+++ b/leader/handover.go
@@ -1,4 +1,4 @@
-package dispatch
+package leader
 
 import (
 	"context"
@@ -54,7 +54,7 @@
 		go func() {
 			offer := assignment.Handover{Term: t.leader.Term, Name: t.leader.Name, FailingMillis: failing.Milliseconds()}
 			var none struct{}
-			err := jsonhttp.Call(ctx, t.parts.Client, "dispatch.offer", http.MethodPost, "http://"+address, assignment.HandoverPath, offer, &none)
+			err := jsonhttp.Call(ctx, t.parts.Client, "leader.offer", http.MethodPost, "http://"+address, assignment.HandoverPath, offer, &none)
 			select {
 			case answers <- err == nil:
 			case <-ctx.Done():
@@ -76,39 +76,39 @@
 
 // ServeHandover takes over from a leader that does not reach the log, if this entry does, and has done so all the
 // while: when the log was away for all, the leader stays.
-func (d *Dispatcher) ServeHandover(w http.ResponseWriter, r *http.Request) {
+func (c *Candidate) ServeHandover(w http.ResponseWriter, r *http.Request) {
 	var offer assignment.Handover
 	if err := jsonhttp.Read(w, r, &offer); err != nil {
 		jsonhttp.WriteError(w, err)
 		return
 	}
-	if err := d.accept(r.Context(), offer); err != nil {
+	if err := c.accept(r.Context(), offer); err != nil {
 		jsonhttp.WriteError(w, &jsonhttp.StatusError{Status: http.StatusConflict, Message: err.Error()})
 		return
 	}
-	d.parts.Logger.Info().Str("step", "dispatch.handover").Int64("term", offer.Term).Str("leader", offer.Name).Msg("leadership is offered, and taken over")
+	c.parts.Logger.Info().Str("step", "leader.handover").Int64("term", offer.Term).Str("leader", offer.Name).Msg("leadership is offered, and taken over")
 	jsonhttp.Write(w, http.StatusOK, struct{}{})
 }
 
 // accept makes this entry claim the term after the one that is offered, or says why not.
-func (d *Dispatcher) accept(ctx context.Context, offer assignment.Handover) error {
-	if d.resigned() {
+func (c *Candidate) accept(ctx context.Context, offer assignment.Handover) error {
+	if c.resigned() {
 		return errResigned
 	}
-	if leader, _, _ := d.parts.Replica.Leader(); leader.Term != offer.Term || leader.Name != offer.Name {
+	if leader, _, _ := c.parts.Replica.Leader(); leader.Term != offer.Term || leader.Name != offer.Name {
 		return errSucceeded
 	}
 	failing := time.Duration(offer.FailingMillis) * time.Millisecond
-	if watched := d.parts.Replica.Watched(); watched < failing {
+	if watched := c.parts.Replica.Watched(); watched < failing {
 		return fmt.Errorf("the log was away here too, until %v ago", watched)
 	}
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	_, _, next := d.parts.Replica.Leader()
-	if _, err := d.parts.Log.Read(ctx, next, 0); err != nil && !errors.Is(err, jobstore.ErrExpired) {
+	_, _, next := c.parts.Replica.Leader()
+	if _, err := c.parts.Log.Read(ctx, next, 0); err != nil && !errors.Is(err, jobstore.ErrExpired) {
 		return err
 	}
-	d.offered.Store(offer.Term)
+	c.offered.Store(offer.Term)
 	return nil
 }
 
--- /dev/null
+++ b/leader/leader.go
@@ -0,0 +1,264 @@
+// Package leader makes one entry at a time lead: it takes agents' polls, lets package dispatch decide, keeps what was decided
+// and tells the agents, with leases on what they run. Each entry runs a Candidate, which waits until its turn to lead comes.
+//
+// # Leadership
+//
+// Who leads is a record of the job topic with a term. An entry that has read everything and sees no sign of the leader
+// for a while claims the next term, on the condition that nothing was written meanwhile; the log then shuts out what a
+// former leader writes. A leader leases running work out only while it has a proof, an acknowledged write of its term, that
+// is younger than Timing.Proof. So a successor knows how long work on a silent worker can still run: Timing.Proof after it
+// began to lead, and a lease on top.
+//
+// # Order
+//
+// The leading goroutine takes agents' news, callers' jobs and cancels, and time; what is decided is stored by one append, and
+// only then told to the agents. So nothing is acted on that is not kept, and nothing is acknowledged either. While an append
+// gets no answer it is sent again with the same number; nothing else is decided.
+//
+// # Usage
+//
+//	c := leader.New(settings, parts)
+//	go c.Run(ctx)
+//	http.HandleFunc(assignment.Path, c.ServePoll)
+package leader
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/dispatch"
+	"yarrowgrade.example/yarrowgrade/hedge"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+)
+
+// Timing is the pace of a dispatcher and the bounds that others count on.
+type Timing struct {
+	// Lease is how long from an answer on a worker's runs may be kept alive; Proof bounds the age of the proof
+	// of leadership with which one is given.
+	Lease time.Duration
+	Proof time.Duration
+	// Drift is the most that a worker's clock may add to a lease, as a share, and Margin a fixed time on top.
+	Drift  float64
+	Margin time.Duration
+	// Hold is how long a poll is held when there is nothing to say.
+	Hold time.Duration
+	// Renew is how often a leader that writes nothing else shows that it lives. Patience is how long the others wait
+	// without a sign.
+	Renew    time.Duration
+	Patience time.Duration
+	// Doubt is how long without a sign the others wait before they ask the leader whether it is still there.
+	Doubt time.Duration
+	// Unreached is how long a leader with work to do goes on without hearing from any agent: one that is cut off from the
+	// agents, but not from the log, must let another one try.
+	Unreached time.Duration
+}
+
+// DefaultTiming is the pace with a lease of the given length.
+func DefaultTiming(lease time.Duration) Timing {
+	return Timing{
+		Lease: lease, Proof: 3 * time.Second, Drift: 0.03, Margin: 300 * time.Millisecond,
+		Hold: 500 * time.Millisecond, Renew: 400 * time.Millisecond, Patience: time.Second, Doubt: 600 * time.Millisecond,
+		Unreached: 3 * time.Second,
+	}
+}
+
+// over is how long after an answer with a lease nothing of it runs any more.
+func (t Timing) over() time.Duration {
+	return time.Duration(float64(t.Lease)*(1+t.Drift)) + t.Margin
+}
+
+// Settings of a candidate.
+type Settings struct {
+	// Name names this life of the entry; Address is where agents reach it.
+	Name    string
+	Address string
+	Timing  Timing
+	// Dispatch is how it decides when it leads.
+	Dispatch dispatch.Settings
+}
+
+// Parts are what a candidate works with.
+type Parts struct {
+	Log     jobstore.Log
+	Replica *jobstore.Replica
+	Catalog *catalog.Follower
+	// Directory is the topic in which agents look for the leader.
+	Directory jobstore.Log
+	// Adviser may be nil where no queue needs advice.
+	Adviser dispatch.Adviser
+	// Latency is that of the log's appends, as all of this process learn it.
+	Latency *hedge.Latency
+	// Client calls other entries; Peers returns the addresses of all of them.
+	Client  *http.Client
+	Peers   func() []string
+	Logger  zerolog.Logger
+	Metrics tally.Scope
+}
+
+// Candidate waits until its turn to lead comes, and leads.
+type Candidate struct {
+	settings Settings
+	parts    Parts
+	metrics  metrics
+	leases   *leases
+	resign   chan struct{}
+	// offered is the newest term whose leader has offered this entry to lead instead of it.
+	offered atomic.Int64
+}
+
+// New returns a candidate. Run starts it.
+func New(s Settings, p Parts) *Candidate {
+	return &Candidate{settings: s, parts: p, metrics: newMetrics(p.Metrics), leases: newLeases(s.Timing), resign: make(chan struct{})}
+}
+
+// Resign ends leadership, if this entry leads, and never claims it again.
+func (c *Candidate) Resign() { close(c.resign) }
+
+// resigned reports whether Resign was called: an entry that leaves must not claim leadership again once it has given it up.
+func (c *Candidate) resigned() bool {
+	select {
+	case <-c.resign:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run waits until its turn to lead comes, and leads, again and again, until ctx ends.
+func (c *Candidate) Run(ctx context.Context) {
+	lost := int64(-1)
+	rest := time.Time{}
+	for ctx.Err() == nil {
+		leader, ok := c.await(ctx, lost, rest)
+		if !ok {
+			return
+		}
+		c.metrics.terms.Inc(termBegun)
+		err := c.lead(ctx, leader)
+		c.metrics.terms.Inc(endOfTerm(err))
+		lost = leader.Term
+		if errors.Is(err, errUnreached) {
+			rest = time.Now().Add(c.settings.Timing.Unreached)
+		}
+		c.parts.Logger.Warn().Str("step", "leader.hold").Int64("term", leader.Term).Err(err).Msg("leadership lost")
+	}
+}
+
+// endOfTerm is the event by which a term ends, as it is counted.
+func endOfTerm(err error) string {
+	if errors.Is(err, errHandedOver) {
+		return termHandedOver
+	}
+	return termLost
+}
+
+// errSucceeded says that another entry holds a later term.
+var errSucceeded = errors.New("a later term has begun")
+
+// errUnreached says that leadership was given up because no agent reaches this entry.
+var errUnreached = errors.New("no agent reaches this entry")
+
+// errResigned says that leadership was given up.
+var errResigned = errors.New("given up for a planned stop")
+
+// lead leads until leadership is lost.
+func (c *Candidate) lead(ctx context.Context, leader jobstore.Leader) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &term{leader: leader, parts: c.parts, leases: c.leases, written: time.Now()}
+	d := dispatch.New(c.settings.Dispatch, dispatch.Parts{
+		Catalog: c.parts.Catalog, Adviser: c.parts.Adviser, Logger: c.parts.Logger, Metrics: c.metrics.dispatch,
+	})
+	for _, v := range c.parts.Replica.All() {
+		d.Take(v)
+	}
+	// The claim was acknowledged or read back; the first write proves leadership from now on.
+	c.leases.open(leader.Term, time.Time{})
+	defer c.leases.close()
+	began := time.Now()
+	c.parts.Logger.Info().Str("step", "leader.lead").Int64("term", leader.Term).Int("jobs", d.Jobs()).Msg("leadership taken")
+	if err := t.renew(ctx); err != nil {
+		return err
+	}
+	go jobstore.AnnounceLeader(ctx, c.parts.Directory, leader)
+	for {
+		changed, ruled := c.parts.Replica.Changed(), c.parts.Catalog.Changed()
+		if err := c.pass(ctx, t, d, began); err != nil {
+			return err
+		}
+		if time.Since(t.written) >= c.settings.Timing.Renew {
+			if err := t.renew(ctx); err != nil {
+				return err
+			}
+		}
+		timer := time.NewTimer(c.untilNext(t, d))
+		select {
+		case <-changed:
+		case <-ruled:
+		case <-c.leases.news:
+		case answer := <-d.Advice():
+			d.TakeAdvice(answer)
+		case <-timer.C:
+		case <-c.resign:
+			return c.giveUp(ctx, t)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		timer.Stop()
+		if current, _, _ := c.parts.Replica.Leader(); current.Term > leader.Term {
+			return errSucceeded
+		}
+		if c.leases.silence(time.Now()) > c.settings.Timing.Unreached && d.Busy() {
+			return errors.Join(errUnreached, c.giveUp(ctx, t))
+		}
+	}
+}
+
+// pass is one round of the leading goroutine: news in, a decision, one append, and then the word to the agents.
+func (c *Candidate) pass(ctx context.Context, t *term, d *dispatch.Controller, began time.Time) error {
+	now := time.Now()
+	for _, poll := range c.leases.take() {
+		d.Report(now, poll)
+	}
+	for _, v := range c.parts.Replica.Take() {
+		d.Take(v)
+	}
+	// A former leader may have given a lease with a proof from just before this one began to lead.
+	d.LeaseOver(c.leases.expire(d.Placed(), now, began.Add(c.settings.Timing.Proof)))
+	d.Plan(ctx, now)
+	records, err := d.Changes(now)
+	if err != nil {
+		return err
+	}
+	if len(records) > 0 {
+		if err := t.write(ctx, records); err != nil {
+			return err
+		}
+	}
+	c.leases.publish(d.Wants(now))
+	c.metrics.passTime.RecordDuration(time.Since(now))
+	d.Observe(now)
+	return nil
+}
+
+// untilNext is how long the leading goroutine may wait for news.
+func (c *Candidate) untilNext(t *term, d *dispatch.Controller) time.Duration {
+	wait := min(time.Until(t.written.Add(c.settings.Timing.Renew)), time.Until(d.Next()))
+	return max(wait, time.Millisecond)
+}
+
+// giveUp tells the others that there is no leader.
+func (c *Candidate) giveUp(ctx context.Context, t *term) error {
+	t.leader.Name = ""
+	if err := t.renew(ctx); err != nil {
+		return err
+	}
+	return errResigned
+}
--- /dev/null
+++ b/leader/leases.go
@@ -0,0 +1,283 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/dispatch"
+)
+
+// agentLease is what is known of one worker and its agent.
+type agentLease struct {
+	// agent is the newest life of the agent's process; former ones are not listened to any more.
+	agent    string
+	former   map[string]bool
+	sequence int64
+	fence    int64
+	// poll is the newest one; news says that the leading goroutine has not seen it yet.
+	poll assignment.Poll
+	news bool
+	// granted is when the newest answer with a lease was sent.
+	granted time.Time
+	// expired says that the leading goroutine counts on the last lease being over: until it has published what follows from
+	// that, the agent gets no lease and no orders.
+	expired bool
+
+	// want is what the leading goroutine has published for a life of the worker.
+	want dispatch.Want
+	// taken is the sequence number of the poll that the leading goroutine took last, heard that of the one whose news it
+	// has kept.
+	taken int64
+	heard int64
+}
+
+// leases is where agents' polls meet the leading goroutine, and what each agent may keep alive. The handlers of polls read what was published and leave their
+// news; they change nothing else.
+type leases struct {
+	timing Timing
+	news   chan struct{}
+
+	mu sync.Mutex
+	// term is that in which this entry leads; zero if it does not.
+	term   int64
+	fences int64
+	proof  time.Time
+	synced bool
+	// heard is when any agent polled last.
+	heard  time.Time
+	agents map[string]*agentLease
+	// published is closed and replaced at each publication.
+	published chan struct{}
+}
+
+func newLeases(timing Timing) *leases {
+	return &leases{timing: timing, news: make(chan struct{}, 1), published: make(chan struct{})}
+}
+
+// open begins a term.
+func (l *leases) open(term int64, proof time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term, l.fences, l.proof, l.synced, l.heard = term, 0, proof, false, time.Now()
+	l.agents = map[string]*agentLease{}
+}
+
+// close ends the term: polls are redirected from now on.
+func (l *leases) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term, l.agents = 0, nil
+	l.announce()
+}
+
+// prove notes that this entry led when a write that has been acknowledged was sent.
+func (l *leases) prove(sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sent.After(l.proof) {
+		l.proof = sent
+	}
+}
+
+// silence is for how long no agent has polled. It does not wait for the leading goroutine, which may stand still as long as
+// the log does not answer.
+func (l *leases) silence(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.heard)
+}
+
+func (l *leases) announce() {
+	close(l.published)
+	l.published = make(chan struct{})
+}
+
+// lease is how long runs may be kept alive from now on: nothing once the proof of leadership is too old, because a
+// successor counts on it.
+func (l *leases) lease(now time.Time) time.Duration {
+	if now.Sub(l.proof) > l.timing.Proof {
+		return 0
+	}
+	return l.timing.Lease
+}
+
+// serve answers a poll, or returns false if this entry does not lead, or not in the term that the agent knows.
+func (l *leases) serve(ctx context.Context, poll assignment.Poll) (assignment.Answer, bool) {
+	arrived := time.Now()
+	if !l.receive(poll) {
+		return assignment.Answer{}, false
+	}
+	deadline := time.NewTimer(l.timing.Hold)
+	defer deadline.Stop()
+	for held := true; ; {
+		answer, urgent, published, ok := l.answer(poll, arrived)
+		if !ok || urgent || !poll.Wait || !held {
+			return answer, ok
+		}
+		select {
+		case <-published:
+		case <-deadline.C:
+			held = false
+		case <-ctx.Done():
+			return answer, false
+		}
+	}
+}
+
+// receive takes the news of a poll.
+func (l *leases) receive(poll assignment.Poll) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == 0 || poll.Term > l.term {
+		return false
+	}
+	l.heard = time.Now()
+	p := l.agentOf(poll.Worker)
+	if p.former[poll.Agent] {
+		return false
+	}
+	if p.agent != poll.Agent {
+		if p.agent != "" {
+			p.former[p.agent] = true
+		}
+		p.agent, p.sequence, p.taken, p.heard = poll.Agent, 0, 0, 0
+		l.fences++
+		p.fence = l.term<<fenceBits + l.fences
+	}
+	if poll.Sequence <= p.sequence {
+		return true
+	}
+	p.sequence, p.poll, p.news = poll.Sequence, poll, true
+	select {
+	case l.news <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// agentOf returns what is known of a worker. The lock must be held.
+func (l *leases) agentOf(worker string) *agentLease {
+	p := l.agents[worker]
+	if p == nil {
+		p = &agentLease{former: map[string]bool{}}
+		l.agents[worker] = p
+	}
+	return p
+}
+
+// expire marks as expired those of the workers whose last lease is surely over, and returns them. The newest lease is looked at
+// under the same lock under which leases are given: an agent that comes back at this moment either gets one before, and
+// its worker is not expired, or none.
+func (l *leases) expire(workers map[string]bool, now, earliest time.Time) map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	over := map[string]bool{}
+	if l.term == 0 {
+		return over
+	}
+	for name := range workers {
+		p := l.agentOf(name)
+		base := earliest
+		if p.granted.After(base) {
+			base = p.granted
+		}
+		if now.After(base.Add(l.timing.over())) {
+			p.expired = true
+			over[name] = true
+		}
+	}
+	return over
+}
+
+// fenceBits is the part of a fence that counts within a term: a million lives of agents.
+const fenceBits = 20
+
+// answer makes the answer to a poll as things stand. Urgent says that there is something to say.
+func (l *leases) answer(poll assignment.Poll, arrived time.Time) (a assignment.Answer, urgent bool, published chan struct{}, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.agents[poll.Worker]
+	if l.term == 0 || p == nil || p.agent != poll.Agent {
+		return a, false, nil, false
+	}
+	now := time.Now()
+	lease := l.lease(now)
+	if poll.Life == nil || poll.Silent || p.expired {
+		// An agent that does not reach a worker has nothing to extend; what an earlier agent left there runs out.
+		lease = 0
+	}
+	a = assignment.Answer{
+		Term: l.term, Fence: p.fence,
+		HeldMillis: now.Sub(arrived).Milliseconds(), LeaseMillis: lease.Milliseconds(), Heard: p.heard,
+	}
+	if lease > 0 {
+		p.granted = now
+	}
+	if !poll.Listed || poll.Life == nil {
+		// The agent needs its fence before it can list anything.
+		return a, !poll.Listed && poll.Life != nil, l.published, true
+	}
+	if !l.synced || p.expired || poll.Life.ID != p.want.Life {
+		return a, false, l.published, true
+	}
+	a.Life, a.Seen = p.want.Life, p.want.Seen
+	p.compare(poll, &a)
+	urgent = len(a.Start) > 0 || len(a.Stop) > 0 || len(a.Settle) > 0 || a.Seen > poll.Seen
+	return a, urgent, l.published, true
+}
+
+// compare puts into the answer what has to be started and stopped so that what runs is what is wanted.
+func (p *agentLease) compare(poll assignment.Poll, a *assignment.Answer) {
+	have := make(map[assignment.RunID]bool, len(poll.Runs)+len(poll.Ends)+len(poll.Refused))
+	for _, r := range poll.Runs {
+		have[r.RunID] = true
+		if w, ok := p.want.Runs[r.Task]; !ok || w.Stopping || w.Start.Run != r.Run {
+			a.Stop = append(a.Stop, r.RunID)
+		}
+	}
+	for _, e := range poll.Ends {
+		have[e.RunID] = true
+	}
+	for _, r := range poll.Refused {
+		have[r.RunID] = true
+	}
+	for _, w := range p.want.Runs {
+		if w.Role != nil {
+			a.Roles = append(a.Roles, *w.Role)
+		}
+		switch {
+		case have[w.Start.RunID]:
+		case w.Stopping:
+			a.Settle = append(a.Settle, w.Start.RunID)
+		case a.LeaseMillis > 0:
+			a.Start = append(a.Start, w.Start)
+		}
+	}
+}
+
+// take returns the polls that are new since the last call, by worker.
+func (l *leases) take() map[string]assignment.Poll {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	polls := map[string]assignment.Poll{}
+	for name, p := range l.agents {
+		if p.news {
+			polls[name], p.news, p.taken = p.poll, false, p.sequence
+		}
+	}
+	return polls
+}
+
+// publish puts what has been kept in force for the agents.
+func (l *leases) publish(all map[string]dispatch.Want) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, p := range l.agents {
+		p.expired = false
+		p.want, p.heard = all[name], p.taken
+	}
+	l.synced = true
+	l.announce()
+}
--- /dev/null
+++ b/leader/leases_test.go
@@ -0,0 +1,192 @@
+package leader
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/dispatch"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// withLeases runs a test with open leases, in a bubble.
+func withLeases(t *testing.T, f func(t *testing.T, l *leases)) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLeases(DefaultTiming(6 * time.Second))
+		l.open(3, time.Now())
+		f(t, l)
+	})
+}
+
+var life = assignment.Life{ID: "life-1", Service: "roster"}
+
+func poll(sequence int64) assignment.Poll {
+	return assignment.Poll{Worker: "w", Agent: "a", Sequence: sequence, Term: 3, Life: &life, Listed: true}
+}
+
+var wantedRun = assignment.RunID{Task: job.TaskName{Job: "0000000000000001"}, Run: 1}
+
+// publishOne publishes that one run is wanted.
+func publishOne(l *leases) {
+	l.publish(map[string]dispatch.Want{"w": {
+		Life: "life-1", Runs: map[job.TaskName]dispatch.WantedRun{wantedRun.Task: {Start: assignment.Start{RunID: wantedRun}}},
+	}})
+}
+
+func ask(t *testing.T, l *leases, p assignment.Poll) assignment.Answer {
+	t.Helper()
+	a, ok := l.serve(t.Context(), p)
+	if !ok {
+		t.Fatalf("the poll %d was not taken", p.Sequence)
+	}
+	return a
+}
+
+func TestLeasesStarts(t *testing.T) {
+	withLeases(t, func(t *testing.T, l *leases) {
+		if a := ask(t, l, poll(1)); a.LeaseMillis == 0 || len(a.Start) != 0 {
+			t.Errorf("before anything is published: %+v", a)
+		}
+		publishOne(l)
+		if a := ask(t, l, poll(2)); len(a.Start) != 1 {
+			t.Errorf("starts: %+v", a.Start)
+		}
+		p := poll(3)
+		p.Runs = []assignment.Run{{RunID: wantedRun}, {RunID: assignment.RunID{Task: job.TaskName{Job: "0000000000000002"}, Run: 4}}}
+		if a := ask(t, l, p); len(a.Start) != 0 || len(a.Stop) != 1 || a.Stop[0].Run != 4 {
+			t.Errorf("want only a stop of what is not wanted, got %+v", a)
+		}
+		other := assignment.Life{ID: "life-2"}
+		p = poll(4)
+		p.Life = &other
+		if a := ask(t, l, p); len(a.Start)+len(a.Stop) != 0 {
+			t.Errorf("another life gets %+v", a)
+		}
+	})
+}
+
+// TestLeasesProof: with an old proof of leadership nothing is leased and nothing started.
+func TestLeasesProof(t *testing.T) {
+	withLeases(t, func(t *testing.T, l *leases) {
+		ask(t, l, poll(1))
+		publishOne(l)
+		time.Sleep(l.timing.Proof + time.Millisecond)
+		if a := ask(t, l, poll(2)); a.LeaseMillis != 0 || len(a.Start) != 0 {
+			t.Errorf("with an old proof: %+v", a)
+		}
+		l.prove(time.Now())
+		if a := ask(t, l, poll(3)); a.LeaseMillis == 0 || len(a.Start) != 1 {
+			t.Errorf("with a new proof: %+v", a)
+		}
+	})
+}
+
+// TestLeasesExpire: between the decision that a worker's lease is over and its dispatch.Want the worker's agent may come back.
+// It must get neither a lease nor an order then.
+func TestLeasesExpire(t *testing.T) {
+	withLeases(t, func(t *testing.T, l *leases) {
+		ask(t, l, poll(1))
+		publishOne(l)
+		time.Sleep(l.timing.over() + time.Millisecond)
+		l.prove(time.Now())
+		workers := map[string]bool{"w": true}
+		if over := l.expire(workers, time.Now(), time.Time{}); !over["w"] {
+			t.Fatal("the lease is not over")
+		}
+		if a := ask(t, l, poll(2)); a.LeaseMillis != 0 || len(a.Start) != 0 {
+			t.Errorf("an expired worker gets %+v", a)
+		}
+		l.publish(map[string]dispatch.Want{"w": {Life: "life-1"}})
+		if a := ask(t, l, poll(3)); a.LeaseMillis == 0 || len(a.Start) != 0 {
+			t.Errorf("after the publication it gets %+v", a)
+		}
+		if over := l.expire(workers, time.Now(), time.Time{}); over["w"] {
+			t.Error("it is expired although it was just given a lease")
+		}
+	})
+}
+
+// TestLeasesUnreached: an agent that does not reach its worker gets no lease, so the worker counts as silent.
+func TestLeasesUnreached(t *testing.T) {
+	withLeases(t, func(t *testing.T, l *leases) {
+		publishOne(l)
+		silent, none := poll(1), poll(2)
+		silent.Silent, none.Life = true, nil
+		for _, p := range []assignment.Poll{silent, none} {
+			if a := ask(t, l, p); a.LeaseMillis != 0 {
+				t.Errorf("%+v gets a lease", p)
+			}
+		}
+	})
+}
+
+// TestLeasesOvertaken: an older poll that comes after a newer one is not taken over, and its sender is not told that it was.
+func TestLeasesOvertaken(t *testing.T) {
+	withLeases(t, func(t *testing.T, l *leases) {
+		ask(t, l, poll(1))
+		ask(t, l, poll(3))
+		older := poll(2)
+		older.Refused = []assignment.Refusal{{RunID: wantedRun}}
+		ask(t, l, older)
+		taken := l.take()["w"]
+		if taken.Sequence != 3 {
+			t.Errorf("the poll %d was taken over", taken.Sequence)
+		}
+		if a := ask(t, l, poll(4)); a.Heard != 0 {
+			t.Errorf("%d was heard before anything was kept", a.Heard)
+		}
+		l.publish(map[string]dispatch.Want{"w": {Life: "life-1"}})
+		if a := ask(t, l, poll(5)); a.Heard != 3 {
+			t.Errorf("%d was heard, want 3", a.Heard)
+		}
+	})
+}
+
+// TestLeasesAgents: another life of an agent gets a higher fence, and the former one is not listened to any more.
+func TestLeasesAgents(t *testing.T) {
+	withLeases(t, func(t *testing.T, l *leases) {
+		first := ask(t, l, poll(1))
+		p := poll(1)
+		p.Agent = "b"
+		second := ask(t, l, p)
+		if second.Fence <= first.Fence {
+			t.Errorf("fences %d and %d", first.Fence, second.Fence)
+		}
+		if _, ok := l.serve(t.Context(), poll(2)); ok {
+			t.Error("the former agent was answered")
+		}
+		newer := poll(9)
+		newer.Agent, newer.Term = "b", 4
+		if _, ok := l.serve(t.Context(), newer); ok {
+			t.Error("an agent that follows a later term was answered")
+		}
+		l.close()
+		if _, ok := l.serve(t.Context(), p); ok {
+			t.Error("a closed desk answered")
+		}
+	})
+}
+
+// TestLeasesHolds: a poll with nothing to say is held, and answered as soon as there is something.
+func TestLeasesHolds(t *testing.T) {
+	withLeases(t, func(t *testing.T, l *leases) {
+		ask(t, l, poll(1))
+		l.publish(map[string]dispatch.Want{"w": {Life: "life-1"}})
+		p := poll(2)
+		p.Wait = true
+		began := time.Now()
+		if a := ask(t, l, p); time.Since(began) != l.timing.Hold || a.Held() != l.timing.Hold {
+			t.Errorf("held for %v, told %v, want %v", time.Since(began), a.Held(), l.timing.Hold)
+		}
+		began = time.Now()
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			publishOne(l)
+		}()
+		p.Sequence = 3
+		if a := ask(t, l, p); time.Since(began) != 100*time.Millisecond || len(a.Start) != 1 {
+			t.Errorf("answered after %v with %+v", time.Since(began), a.Start)
+		}
+	})
+}
--- /dev/null
+++ b/leader/term.go
@@ -0,0 +1,86 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/hedge"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+)
+
+// Times of an append. A second try with the same number is harmless.
+const (
+	// appendLimit bounds one try.
+	appendLimit = 3 * time.Second
+	appendPause = 60 * time.Millisecond
+	// slowAppend is from when on an append's time is logged.
+	slowAppend = 250 * time.Millisecond
+)
+
+// term is the writing side of a term in which this entry leads: it numbers the appends and repeats those without an answer.
+type term struct {
+	leader   jobstore.Leader
+	parts    Parts
+	leases   *leases
+	sequence int64
+	written  time.Time
+}
+
+// write appends records for sure, or returns errSucceeded, or the context's error.
+func (t *term) write(ctx context.Context, records []jobstore.Record) error {
+	t.sequence++
+	condition := jobstore.Condition{Producer: jobstore.TermOf(t.leader.Term, t.sequence)}
+	began := time.Now()
+	calls := hedge.Calls[int64]{
+		Way:   func(ctx context.Context, try int) (int64, error) { return t.append(ctx, try, records, condition) },
+		After: t.parts.Latency.Patience,
+		Pause: appendPause,
+		Limit: appendLimit,
+		Final: func(err error) bool { return errors.Is(err, jobstore.ErrFenced) || errors.Is(err, errSucceeded) },
+	}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	go t.handOver(ctx, func() { end(errHandedOver) })
+	offset, err := calls.Do(ctx)
+	switch {
+	case errors.Is(err, jobstore.ErrFenced):
+		return errSucceeded
+	case err != nil:
+		return err
+	}
+	if took := time.Since(began); took > slowAppend {
+		t.parts.Logger.Info().Str("step", "leader.write").Int64("term", t.leader.Term).Int64("offset", offset).
+			Int("records", len(records)).Dur("took_ms", took).Msg("append took long")
+	}
+	// Which of the tries was carried out is not known, only that it was after the first one was sent.
+	t.written = began
+	t.leases.prove(began)
+	t.parts.Replica.Note(records, offset)
+	return nil
+}
+
+// append makes one try.
+func (t *term) append(ctx context.Context, try int, records []jobstore.Record, c jobstore.Condition) (int64, error) {
+	if leader, _, _ := t.parts.Replica.Leader(); leader.Term > t.leader.Term {
+		return 0, errSucceeded
+	}
+	if try == 1 {
+		t.parts.Logger.Warn().Str("step", "leader.write").Int64("term", t.leader.Term).Msg("append without an answer; sent again")
+	}
+	sent := time.Now()
+	offset, err := t.parts.Log.Append(ctx, records, c)
+	if err == nil {
+		t.parts.Latency.Note(time.Since(sent))
+	}
+	return offset, err
+}
+
+// renew shows that the leader lives.
+func (t *term) renew(ctx context.Context) error {
+	record, err := jobstore.LeaderRecord(t.leader)
+	if err != nil {
+		return err
+	}
+	return t.write(ctx, []jobstore.Record{record})
+}
--- a/spec/office.pml
+++ b/spec/leader.pml
@@ -1,18 +1,18 @@
-/* The office of dispatcher and the leases that its holder gives, with time. Two entries, of which the second may claim the
- * office at any moment; one agent whose worker runs a task; and a second worker on which a holder starts the task again
+/* The leadership of dispatcher and the leases that its leader gives, with time. Two entries, of which the second may claim the
+ * leadership at any moment; one agent whose worker runs a task; and a second worker on which a leader starts the task again
  * once it believes that the first run is over. The task must never run twice.
  *
  * model              code
- * holder, term       jobstore.Office: a write of a former holder is shut out
- * proof              desk.proof: when the holder's newest write that was acknowledged was sent
+ * leader, term       jobstore.Office: a write of a former leader is shut out
+ * proof              desk.proof: when the leader's newest write that was acknowledged was sent
  * granted, took      place.granted, control.took
  * sealed             place.sealed: decided, and not published yet
  * until              Runner.until: the end of the lease; the worker kills the run then
  * doubled            run 2 was started while run 1 still ran
  *
- * Mutants (-D): NO_PROOF   a holder gives leases without a fresh proof of the office
- *               NO_WAIT   a new holder does not wait for what the former one may have leased
- *               NO_FENCE   a write of a former holder takes effect
+ * Mutants (-D): NO_PROOF   a leader gives leases without a fresh proof of the leadership
+ *               NO_WAIT   a new leader does not wait for what the former one may have leased
+ *               NO_FENCE   a write of a former leader takes effect
  *               NO_SEAL   leases are given between the decision and its publication
  */
 #define ENTRIES 2
@@ -33,12 +33,12 @@
 #ifdef NO_FENCE
 #define COUNTS(e) true
 #else
-#define COUNTS(e) (holder == e)
+#define COUNTS(e) (leader == e)
 #endif
 
 byte now = 0;
-byte holder = 0;                          /* in the log */
-bool believes[ENTRIES];                   /* in office, as far as the entry knows */
+byte leader = 0;                          /* in the log */
+bool believes[ENTRIES];                   /* in leadership, as far as the entry knows */
 byte term[ENTRIES];
 byte proof[ENTRIES], granted[ENTRIES], took[ENTRIES];
 bool sealed[ENTRIES];
@@ -65,13 +65,13 @@
   if :: pending = true; until = 0 :: skip fi;
   do
   :: now < END -> now++                   /* time passes */
-  :: now < END && holder == 0 && !believes[1] ->   /* the second entry claims, at any moment */
-     holder = 1; believes[1] = true; term[1] = 2; proof[1] = now; took[1] = now
-  :: now < END ->                         /* a holder writes; a former one learns that it was succeeded */
+  :: now < END && leader == 0 && !believes[1] ->   /* the second entry claims, at any moment */
+     leader = 1; believes[1] = true; term[1] = 2; proof[1] = now; took[1] = now
+  :: now < END ->                         /* a leader writes; a former one learns that it was succeeded */
      select (e : 0 .. 1);
      if
-     :: believes[e] && holder == e -> proof[e] = now
-     :: believes[e] && holder != e -> believes[e] = false
+     :: believes[e] && leader == e -> proof[e] = now
+     :: believes[e] && leader != e -> believes[e] = false
      :: else -> skip
      fi
   :: now < END && !second ->              /* the agent polls an entry, and is given a lease or not */
