--- a/intake/metrics.go
+++ b/admission/metrics.go
@@ -1,4 +1,4 @@
-package intake
+package admission
 
 import (
 	"errors"
@@ -42,7 +42,7 @@
 	return outcomeUncertain
 }
 
-// metrics are an intake's.
+// metrics are an admission service's.
 type metrics struct {
 	admissions, submissions, cancels telemetry.Counters[outcome]
 	keepTime                         tally.Histogram
--- a/intake/operators.go
+++ b/admission/operators.go
@@ -1,4 +1,4 @@
-package intake
+package admission
 
 import (
 	"cmp"
--- a/intake/operators_test.go
+++ b/admission/operators_test.go
@@ -1,4 +1,4 @@
-package intake_test
+package admission_test
 
 import (
 	"net/http"
@@ -10,7 +10,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
 
-	"yarrowgrade.example/yarrowgrade/intake"
+	"yarrowgrade.example/yarrowgrade/admission"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/jobtest"
@@ -31,7 +31,7 @@
 	replica := jobstore.NewReplica(jobtest.NewLog(1).Client("e"), zerolog.Nop())
 	replica.Note([]jobstore.Record{submission, progress}, 0)
 	router := httprouter.New()
-	intake.NewOperators(replica).Register(router)
+	admission.NewOperators(replica).Register(router)
 	tests := []struct {
 		path   string
 		status int
--- a/client/client.go
+++ b/client/client.go
@@ -16,9 +16,9 @@
 	"net/url"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/admission"
 	"yarrowgrade.example/yarrowgrade/entry"
 	"yarrowgrade.example/yarrowgrade/fault"
-	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/policy"
@@ -90,14 +90,14 @@
 }
 
 // Jobs lists the jobs that a job entry knows.
-func (c *Client) Jobs(ctx context.Context) ([]intake.JobSummary, error) {
-	var list []intake.JobSummary
+func (c *Client) Jobs(ctx context.Context) ([]admission.JobSummary, error) {
+	var list []admission.JobSummary
 	return list, c.call(ctx, "Jobs", http.MethodGet, "/v1/jobs", nil, &list)
 }
 
 // Job returns a job with its tasks.
-func (c *Client) Job(ctx context.Context, id string) (intake.JobDetail, error) {
-	var v intake.JobDetail
+func (c *Client) Job(ctx context.Context, id string) (admission.JobDetail, error) {
+	var v admission.JobDetail
 	return v, c.call(ctx, "Job", http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil, &v)
 }
 
--- a/cmd/yarrowgrade/job.go
+++ b/cmd/yarrowgrade/job.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"yarrowgrade.example/yarrowgrade/intake"
+	"yarrowgrade.example/yarrowgrade/admission"
 )
 
 const jobUsage = `
@@ -42,7 +42,7 @@
 	})
 }
 
-func printSummary(w io.Writer, j intake.JobSummary) {
+func printSummary(w io.Writer, j admission.JobSummary) {
 	fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", j.ID, j.Queue, j.Team, j.Priority, j.Phase, j.Accepted.Format(time.RFC3339))
 }
 
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -14,10 +14,10 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"yarrowgrade.example/yarrowgrade/admission"
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
-	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/leader"
 	"yarrowgrade.example/yarrowgrade/platform"
@@ -88,9 +88,9 @@
 	announced jobstore.Log
 	directory *jobstore.Directory
 	replica   *jobstore.Replica
-	keeper    *jobstore.Keeper
+	writer    *jobstore.Writer
 	catalog   *catalog.Follower
-	intake    *intake.Intake
+	admission *admission.Service
 	candidate *leader.Candidate
 	leaving   chan struct{}
 }
@@ -106,9 +106,9 @@
 	e.catalog = catalog.NewFollower(topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
 	// Reads are frequent: they know that the log is slow before the first append does.
 	latency := e.replica.Latency()
-	e.keeper = jobstore.NewKeeper(jobs, latency, e.replica, e.directory.Entries, address, client, t.Log)
-	e.intake = intake.New(intake.Settings{KeyProof: s.Revoke()}, intake.Parts{
-		Keeper: e.keeper, Replica: e.replica, Catalog: e.catalog, Logger: t.Log, Metrics: t.Metrics,
+	e.writer = jobstore.NewWriter(jobs, latency, e.replica, e.directory.Entries, address, client, t.Log)
+	e.admission = admission.New(admission.Settings{KeyProof: s.Revoke()}, admission.Parts{
+		Writer: e.writer, Replica: e.replica, Catalog: e.catalog, Logger: t.Log, Metrics: t.Metrics,
 	})
 	decision := dispatch.DefaultSettings()
 	decision.Forget, decision.Policy = s.Status()+time.Minute, policy
@@ -163,13 +163,13 @@
 func (e *jobEntry) listen() ([]*http.Server, error) {
 	inner := httprouter.New()
 	inner.HandlerFunc(http.MethodPost, assignment.Path, e.candidate.ServePoll)
-	inner.HandlerFunc(http.MethodPost, jobstore.KeepPath, e.keeper.ServeKeep)
+	inner.HandlerFunc(http.MethodPost, jobstore.RecordsPath, e.writer.ServeWrite)
 	inner.HandlerFunc(http.MethodGet, assignment.LeaderPath, e.candidate.ServeLeader)
 	inner.HandlerFunc(http.MethodPost, assignment.HandoverPath, e.candidate.ServeHandover)
-	intake.NewOperators(e.replica).Register(inner)
+	admission.NewOperators(e.replica).Register(inner)
 	inner.Handler(http.MethodGet, "/metrics", e.telemetry.MetricsHandler)
 	handlers := map[string]http.Handler{
-		e.settings.Listen.Front:             platform.NewCallers(e.intake),
+		e.settings.Listen.Front:             platform.NewCallers(e.admission),
 		e.settings.Listen.Ready:             platform.Ready(e.ready),
 		e.settings.InnerAddress(innerPlace): inner,
 	}
@@ -181,7 +181,7 @@
 	case <-e.leaving:
 		return false
 	default:
-		return e.intake.Ready()
+		return e.admission.Ready()
 	}
 }
 
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -183,17 +183,17 @@
 	})
 }
 
-// keepers starts two entries that keep records for each other.
-func keepers(t *testing.T, ctx context.Context, log *jobtest.Log) *jobstore.Keeper {
+// writers starts two entries that keep records for each other.
+func writers(t *testing.T, ctx context.Context, log *jobtest.Log) *jobstore.Writer {
 	network := standin.NewNetwork()
-	var first *jobstore.Keeper
+	var first *jobstore.Writer
 	peers := func() []string { return []string{"a", "b"} }
 	for _, name := range peers() {
 		r := jobstore.NewReplica(log.Client(name), zerolog.Nop())
 		go r.Run(ctx)
-		k := jobstore.NewKeeper(log.Client(name), hedge.NewLatency(), r, peers, name, network.Client("http://"+name), zerolog.Nop())
+		k := jobstore.NewWriter(log.Client(name), hedge.NewLatency(), r, peers, name, network.Client("http://"+name), zerolog.Nop())
 		router := httprouter.New()
-		router.HandlerFunc(http.MethodPost, jobstore.KeepPath, k.ServeKeep)
+		router.HandlerFunc(http.MethodPost, jobstore.RecordsPath, k.ServeWrite)
 		network.Attach("http://"+name, router)
 		if first == nil {
 			first = k
@@ -203,7 +203,7 @@
 	return first
 }
 
-func TestKeeper(t *testing.T) {
+func TestWriter(t *testing.T) {
 	silent, refuse, reset := jobtest.Fault{Silent: true}, jobtest.Fault{Refuse: true}, jobtest.Fault{Reset: true}
 	tests := []struct {
 		name string
@@ -226,14 +226,14 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
-				k := keepers(t, ctx, log)
+				k := writers(t, ctx, log)
 				log.SetFault("a", test.a)
 				log.SetFault("b", test.b)
 				time.Sleep(test.settle)
 				call, cancel := context.WithTimeout(ctx, 2200*time.Millisecond)
 				defer cancel()
 				began := time.Now()
-				err := k.Keep(call, submission(t, one, ""))
+				err := k.Write(call, submission(t, one, ""))
 				if took := time.Since(began); took > test.within {
 					t.Errorf("it took %v, want at most %v", took, test.within)
 				}
--- a/jobstore/keeper.go
+++ b/jobstore/writer.go
@@ -16,8 +16,8 @@
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
 )
 
-// KeepPath is where an entry keeps a record for another one that does not reach the log.
-const KeepPath = "/internal/records"
+// RecordsPath is where an entry keeps a record for another one that does not reach the log.
+const RecordsPath = "/internal/records"
 
 // Times of keeping a record.
 const (
@@ -32,9 +32,9 @@
 	keepProof = 1200 * time.Millisecond
 )
 
-// Keeper keeps callers' records, submissions and cancels, by this entry's own way to the log or by another entry's. Each
+// Writer keeps callers' records, submissions and cancels, by this entry's own way to the log or by another entry's. Each
 // such record may be kept twice without harm, so a try without an answer is followed by another one.
-type Keeper struct {
+type Writer struct {
 	log     Log
 	latency *hedge.Latency
 	replica *Replica
@@ -49,12 +49,12 @@
 	unreached map[string]time.Time
 }
 
-// NewKeeper returns a keeper. The latency is that of the log's appends, as all of this process learn it.
-func NewKeeper(log Log, latency *hedge.Latency, replica *Replica, peers func() []string, self string, client *http.Client, logger zerolog.Logger) *Keeper {
-	return &Keeper{log: log, latency: latency, replica: replica, peers: peers, self: self, client: client, logger: logger, unreached: map[string]time.Time{}}
+// NewWriter returns a writer. The latency is that of the log's appends, as all of this process learn it.
+func NewWriter(log Log, latency *hedge.Latency, replica *Replica, peers func() []string, self string, client *http.Client, logger zerolog.Logger) *Writer {
+	return &Writer{log: log, latency: latency, replica: replica, peers: peers, self: self, client: client, logger: logger, unreached: map[string]time.Time{}}
 }
 
-// kept is the answer to KeepPath.
+// kept is the answer to RecordsPath.
 type kept struct {
 	Offset int64 `json:"offset"`
 }
@@ -62,14 +62,14 @@
 // try is one way to keep the record.
 type try func(ctx context.Context) (offset int64, err error)
 
-// Keep keeps a record. An error for which NotDone holds says that it is not kept and never will be; after any other one it
+// Write keeps a record. An error for which NotDone holds says that it is not kept and never will be; after any other one it
 // may be, or may still come to be.
-func (k *Keeper) Keep(ctx context.Context, record Record) error {
+func (wr *Writer) Write(ctx context.Context, record Record) error {
 	doubt := false
 	for {
-		offset, err := k.round(ctx, k.tries(record))
+		offset, err := wr.round(ctx, wr.tries(record))
 		if err == nil {
-			k.replica.Note([]Record{record}, offset)
+			wr.replica.Note([]Record{record}, offset)
 			return nil
 		}
 		doubt = doubt || !NotDone(err)
@@ -78,55 +78,55 @@
 		}
 		pause(ctx, keepPause)
 		if ctx.Err() != nil {
-			return fmt.Errorf("jobstore.Keep: uncertain: %w", context.Cause(ctx))
+			return fmt.Errorf("jobstore.Write: uncertain: %w", context.Cause(ctx))
 		}
 	}
 }
 
 // tries lists the ways, this entry's own one first if the log has answered lately.
-func (k *Keeper) tries(record Record) []try {
+func (wr *Writer) tries(record Record) []try {
 	var tries []try
-	if k.reachesLog() {
-		tries = append(tries, func(ctx context.Context) (int64, error) { return k.append(ctx, record) })
+	if wr.reachesLog() {
+		tries = append(tries, func(ctx context.Context) (int64, error) { return wr.append(ctx, record) })
 	}
-	for _, address := range k.peers() {
-		if address != k.self && !k.isAway(address) {
-			tries = append(tries, func(ctx context.Context) (int64, error) { return k.ask(ctx, address, record) })
+	for _, address := range wr.peers() {
+		if address != wr.self && !wr.isAway(address) {
+			tries = append(tries, func(ctx context.Context) (int64, error) { return wr.ask(ctx, address, record) })
 		}
 	}
 	return tries
 }
 
 // isAway reports whether an entry was found not to be there a short while ago: asking it would only take time.
-func (k *Keeper) isAway(address string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return time.Since(k.unreached[address]) < awayFor
+func (wr *Writer) isAway(address string) bool {
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+	return time.Since(wr.unreached[address]) < awayFor
 }
 
-func (k *Keeper) reachesLog() bool {
-	proof := k.replica.Proof()
+func (wr *Writer) reachesLog() bool {
+	proof := wr.replica.Proof()
 	return !proof.IsZero() && time.Since(proof) < keepProof
 }
 
 // append keeps a record by this entry's own way.
-func (k *Keeper) append(ctx context.Context, record Record) (int64, error) {
+func (wr *Writer) append(ctx context.Context, record Record) (int64, error) {
 	sent := time.Now()
-	offset, err := k.log.Append(ctx, []Record{record}, Condition{})
+	offset, err := wr.log.Append(ctx, []Record{record}, Condition{})
 	if err == nil {
-		k.latency.Note(time.Since(sent))
+		wr.latency.Note(time.Since(sent))
 	}
 	return offset, err
 }
 
 // round tries the ways one after the other, the next one as soon as one has failed or takes long, until one succeeds.
-func (k *Keeper) round(ctx context.Context, tries []try) (int64, error) {
+func (wr *Writer) round(ctx context.Context, tries []try) (int64, error) {
 	if len(tries) == 0 {
 		return 0, fmt.Errorf("%w: no way to the log", ErrRefused)
 	}
 	calls := hedge.Calls[int64]{
 		Way:   func(ctx context.Context, n int) (int64, error) { return tries[n](ctx) },
-		After: k.latency.Patience,
+		After: wr.latency.Patience,
 		Limit: keepLimit,
 		Tries: len(tries),
 		Worse: moreDoubtful,
@@ -143,13 +143,13 @@
 }
 
 // ask has another entry keep the record.
-func (k *Keeper) ask(ctx context.Context, address string, record Record) (int64, error) {
+func (wr *Writer) ask(ctx context.Context, address string, record Record) (int64, error) {
 	var answer kept
-	err := jsonhttp.Call(ctx, k.client, "jobstore.ask", http.MethodPost, "http://"+address, KeepPath, record, &answer)
+	err := jsonhttp.Call(ctx, wr.client, "jobstore.ask", http.MethodPost, "http://"+address, RecordsPath, record, &answer)
 	if fault.NotReached(err) {
-		k.mu.Lock()
-		k.unreached[address] = time.Now()
-		k.mu.Unlock()
+		wr.mu.Lock()
+		wr.unreached[address] = time.Now()
+		wr.mu.Unlock()
 		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	var status *jsonhttp.StatusError
@@ -159,8 +159,8 @@
 	return answer.Offset, err
 }
 
-// ServeKeep keeps a record for another entry. 503 says that it is not kept, 504 that this is uncertain.
-func (k *Keeper) ServeKeep(w http.ResponseWriter, r *http.Request) {
+// ServeWrite keeps a record for another entry. 503 says that it is not kept, 504 that this is uncertain.
+func (wr *Writer) ServeWrite(w http.ResponseWriter, r *http.Request) {
 	var record Record
 	if err := jsonhttp.Read(w, r, &record); err != nil {
 		jsonhttp.WriteError(w, err)
@@ -170,13 +170,13 @@
 		jsonhttp.WriteError(w, &jsonhttp.StatusError{Status: http.StatusBadRequest, Message: "want a caller's record", Field: "Key"})
 		return
 	}
-	if !k.reachesLog() {
+	if !wr.reachesLog() {
 		jsonhttp.WriteError(w, ErrRefused)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), keepLimit)
 	defer cancel()
-	offset, err := k.append(ctx, record)
+	offset, err := wr.append(ctx, record)
 	if err != nil {
 		code := http.StatusGatewayTimeout
 		if NotDone(err) {
@@ -185,7 +185,7 @@
 		jsonhttp.WriteError(w, &jsonhttp.StatusError{Status: code, Message: err.Error()})
 		return
 	}
-	k.replica.Note([]Record{record}, offset)
-	k.logger.Info().Str("step", "jobstore.keep").Str("key", record.Key).Int64("offset", offset).Msg("record is kept for another entry")
+	wr.replica.Note([]Record{record}, offset)
+	wr.logger.Info().Str("step", "jobstore.write").Str("key", record.Key).Int64("offset", offset).Msg("record is kept for another entry")
 	jsonhttp.Write(w, http.StatusOK, kept{Offset: offset})
 }
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -16,11 +16,11 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"yarrowgrade.example/yarrowgrade/admission"
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
 	"yarrowgrade.example/yarrowgrade/hosting/standin"
-	"yarrowgrade.example/yarrowgrade/intake"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/jobtest"
@@ -45,11 +45,11 @@
 
 // process is an entry or an agent: it can be killed, and then another life of it started.
 type process struct {
-	name   string
-	life   int
-	cancel context.CancelFunc
-	intake *intake.Intake
-	runner *runner.Runner
+	name      string
+	life      int
+	cancel    context.CancelFunc
+	admission *admission.Service
+	runner    *runner.Runner
 	// replica and dispatcher are an entry's.
 	replica   *jobstore.Replica
 	candidate *leader.Candidate
@@ -137,8 +137,8 @@
 	follower := catalog.NewFollower(s.config.Client(p.name), "config", decodeCatalog, logger)
 	directory := jobstore.NewDirectory(announced, zerolog.Nop())
 	latency := replica.Latency()
-	keeper := jobstore.NewKeeper(log, latency, replica, directory.Entries, p.name, client, logger)
-	p.intake = intake.New(intake.Settings{KeyProof: 5 * time.Second}, intake.Parts{Keeper: keeper, Replica: replica, Catalog: follower, Logger: logger, Metrics: tally.NoopScope})
+	writer := jobstore.NewWriter(log, latency, replica, directory.Entries, p.name, client, logger)
+	p.admission = admission.New(admission.Settings{KeyProof: 5 * time.Second}, admission.Parts{Writer: writer, Replica: replica, Catalog: follower, Logger: logger, Metrics: tally.NoopScope})
 	candidate := leader.New(
 		leader.Settings{Name: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: leader.DefaultTiming(lease), Dispatch: dispatch.DefaultSettings()},
 		leader.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Latency: latency, Client: client, Peers: directory.Entries, Logger: logger, Metrics: tally.NoopScope},
@@ -148,7 +148,7 @@
 	r.HandlerFunc(http.MethodPost, assignment.Path, candidate.ServePoll)
 	r.HandlerFunc(http.MethodGet, assignment.LeaderPath, candidate.ServeLeader)
 	r.HandlerFunc(http.MethodPost, assignment.HandoverPath, candidate.ServeHandover)
-	r.HandlerFunc(http.MethodPost, jobstore.KeepPath, keeper.ServeKeep)
+	r.HandlerFunc(http.MethodPost, jobstore.RecordsPath, writer.ServeWrite)
 	s.network.Attach("http://"+p.name, r)
 	go replica.Run(ctx)
 	go follower.Run(ctx)
@@ -194,7 +194,7 @@
 	path := fmt.Sprintf("/q%d/%s", queue, j.ID)
 	doubt := false
 	for try := range 3 {
-		in := s.entries[(s.number+1+try)%entryCount].intake
+		in := s.entries[(s.number+1+try)%entryCount].admission
 		ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 		a, err := in.Admit(host, path, "key")
 		if err == nil {
@@ -207,7 +207,7 @@
 		case err == nil:
 			s.accepted[j.ID] = true
 			return
-		case !errors.Is(err, intake.ErrNotReady):
+		case !errors.Is(err, admission.ErrNotReady):
 			doubt = true
 		}
 		time.Sleep(300 * time.Millisecond)
@@ -217,7 +217,7 @@
 
 // cancel cancels a job at some entry.
 func (s *system) cancel(id job.ID, queue int) {
-	in := s.entries[s.random.IntN(entryCount)].intake
+	in := s.entries[s.random.IntN(entryCount)].admission
 	ctx, done := context.WithTimeout(s.ctx, 3*time.Second)
 	defer done()
 	a, err := in.Admit(host, fmt.Sprintf("/q%d/%s", queue, id), "key")
@@ -381,8 +381,8 @@
 	}
 	for id := range s.accepted {
 		for _, e := range s.entries {
-			a := intake.Admission{Job: id}
-			phase, err := e.intake.Phase(a)
+			a := admission.Call{Job: id}
+			phase, err := e.admission.Phase(a)
 			switch {
 			case err != nil:
 				t.Errorf("LOST: %s says of accepted job %s: %v", e.name, id, err)
