A refusal waits for no entry that is gone, and says when to come back from what is known

Cause: the box of an entry that is replaced stays in the directory. Retry-After was always one second, and the line of a refused call did not say what was missing.

Change: an entry that was not there is looked at again in the background, every second, and used once it answers. A refusal is an admission.NotReady with its reason; Retry-After is the time for which the log has been away, from 1 to 5 s.

Tests: TestGonePeer failed before (400 ms for each refusal, every fifth second); TestRefusals is new: a refusal comes at once, is true, has its cause in the log.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,7 +27,7 @@
 
 // Answers that are no success. All others of Submit and Cancel mean that it is not known what became of the call.
 var (
-	// ErrNotReady says that nothing was done and that the caller should come back after RetryAfter.
+	// ErrNotReady says that nothing was done and that the caller should come back; it is what a NotReady is.
 	ErrNotReady = errors.New("not ready; come back")
 	// ErrUnknownQueue, ErrUnknownKey and ErrUnknownJob say that there is no such thing in force.
 	ErrUnknownQueue = errors.New("no such queue")
@@ -36,8 +37,34 @@
 	ErrUncertain = errors.New("no answer from the log; the same call may be made again")
 )
 
-// RetryAfter is when to come back after ErrNotReady.
-const RetryAfter = time.Second
+// NotReady says that nothing was done, why, and when to come back.
+type NotReady struct {
+	Reason string
+	After  time.Duration
+	// Err is the cause, if there is one.
+	Err error
+}
+
+func (e *NotReady) Error() string {
+	text := fmt.Sprintf("%v in %v: %s", ErrNotReady, e.After, e.Reason)
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *NotReady) Unwrap() error { return e.Err }
+
+// Is makes every NotReady an ErrNotReady.
+func (e *NotReady) Is(target error) bool { return target == ErrNotReady }
+
+// Bounds of the time after which callers are to come back. In between it is as long as the log has been away: an outage that
+// has lasted for long is likely to last on for as long again. HTTP tells it in whole seconds; above five callers have left.
+const (
+	leastRetry = time.Second
+	mostRetry  = 5 * time.Second
+)
 
 // Times of a call.
 const (
@@ -107,8 +134,11 @@
 func (s *Service) admit(host, path, key string) (Call, error) {
 	c, proof := s.parts.Catalog.Current()
 	s.metrics.proof(proof)
-	if c == nil || time.Since(proof) >= s.settings.KeyProof-keyMargin {
-		return Call{}, ErrNotReady
+	if c == nil {
+		return Call{}, s.notReady("no configuration has come yet", nil)
+	}
+	if age := time.Since(proof); age >= s.settings.KeyProof-keyMargin {
+		return Call{}, s.notReady("a newer configuration may be in force", nil)
 	}
 	q, ok := c.Route(host, path)
 	if !ok {
@@ -174,11 +204,24 @@
 		s.metrics.keepTime.RecordDuration(time.Since(began))
 		return nil
 	case jobstore.NotDone(err):
-		return errors.Join(ErrNotReady, err)
+		return s.notReady("the log does not take it", err)
 	}
 	return errors.Join(ErrUncertain, err)
 }
 
+// notReady is the refusal of a call of which nothing was done.
+func (s *Service) notReady(reason string, err error) *NotReady {
+	oldest := s.parts.Replica.Proof()
+	if _, proof := s.parts.Catalog.Current(); proof.Before(oldest) {
+		oldest = proof
+	}
+	after := leastRetry
+	if !oldest.IsZero() {
+		after = min(max(time.Since(oldest).Round(time.Second), leastRetry), mostRetry)
+	}
+	return &NotReady{Reason: reason, After: after, Err: err}
+}
+
 func (s *Service) jobsKnown() bool {
 	proof := s.parts.Replica.Proof()
 	return !proof.IsZero() && time.Since(proof) < jobsProof
@@ -191,7 +234,7 @@
 	case ok:
 		return phase, nil
 	case !s.jobsKnown():
-		return 0, ErrNotReady
+		return 0, s.notReady("jobs may have come that are not known here", nil)
 	}
 	return 0, ErrUnknownJob
 }
@@ -227,7 +270,7 @@
 // Pending counts the queue's jobs none of whose tasks has begun.
 func (s *Service) Pending(a Call) (int, error) {
 	if !s.jobsKnown() {
-		return 0, ErrNotReady
+		return 0, s.notReady("jobs may have come that are not known here", nil)
 	}
 	return s.parts.Replica.Pending(a.Queue.Name), nil
 }
--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,89 @@
+package admission_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"yarrowgrade.example/yarrowgrade/admission"
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+)
+
+// service is an admission service whose configuration has one open queue, beside a log that a test gives faults to.
+func service(ctx context.Context, log, config *jobtest.Log, logger zerolog.Logger) *admission.Service {
+	replica := jobstore.NewReplica(log.Client("e"), logger)
+	follower := catalog.NewFollower(config.Client("e"), "config", func([]byte) (*catalog.Catalog, error) {
+		c := catalog.Catalog{Version: 1, Queues: []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Open: true, Attempts: 1}}}
+		return c.WithIndex(), nil
+	}, logger)
+	writer := jobstore.NewWriter(log.Client("e"), replica.Latency(), replica, func() []string { return nil }, "e", http.DefaultClient, logger)
+	go replica.Run(ctx)
+	go follower.Run(ctx)
+	return admission.New(admission.Settings{KeyProof: 5 * time.Second}, admission.Parts{
+		Writer: writer, Replica: replica, Catalog: follower, Logger: logger, Metrics: tally.NoopScope,
+	})
+}
+
+// TestRefusals: what can't be kept is refused at once, never runs, and says when to come back: the longer the log has been
+// away, the later. The cause is in the log.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault jobtest.Fault
+		away  time.Duration
+		want  time.Duration
+	}{
+		{"refuses for a moment", jobtest.Fault{Refuse: true}, 0, time.Second},
+		{"refuses for long", jobtest.Fault{Refuse: true}, 3 * time.Second, 3 * time.Second},
+		{"silent for long", jobtest.Fault{Silent: true}, 4 * time.Second, 4 * time.Second},
+		{"silent for very long", jobtest.Fault{Silent: true}, 20 * time.Second, 5 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				log, config := jobtest.NewLog(1), jobtest.NewLog(2)
+				var lines strings.Builder
+				s := service(ctx, log, config, zerolog.New(zerolog.SyncWriter(&lines)))
+				if _, err := config.Client("o").Append(ctx, []jobstore.Record{{Key: "config", Value: []byte("1")}}, jobstore.Condition{}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				call, err := s.Admit("h", "/q/0000000000000001", "")
+				if err != nil {
+					t.Fatal(err)
+				}
+				log.SetFault("e", test.fault)
+				time.Sleep(test.away)
+				began := time.Now()
+				err = s.Submit(ctx, call, &job.Job{Steps: []job.Step{{Tasks: 1}}})
+				var refusal *admission.NotReady
+				if !errors.As(err, &refusal) || refusal.After != test.want || !errors.Is(err, admission.ErrNotReady) {
+					t.Errorf("got %v, want a refusal for %v", err, test.want)
+				}
+				if took := time.Since(began); took > 100*time.Millisecond {
+					t.Errorf("the refusal took %v", took)
+				}
+				if !strings.Contains(lines.String(), "the log does not take it") {
+					t.Error("its cause is not in the log")
+				}
+				log.SetFault("e", jobtest.Fault{})
+				time.Sleep(10 * time.Second)
+				if _, err := s.Phase(call); !errors.Is(err, admission.ErrUnknownJob) {
+					t.Errorf("after the log is back the refused job is known: %v", err)
+				}
+			})
+		})
+	}
+}
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -248,6 +250,75 @@
 	}
 }
 
+// slowDial lets connections to a host fail as those to a box without power: after a while.
+type slowDial struct {
+	http.RoundTripper
+	mu   sync.Mutex
+	gone bool
+}
+
+func (s *slowDial) setGone(gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = gone
+}
+
+func (s *slowDial) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	gone := s.gone
+	s.mu.Unlock()
+	if !gone {
+		return s.RoundTripper.RoundTrip(r)
+	}
+	time.Sleep(400 * time.Millisecond)
+	return nil, &net.OpError{Op: "dial", Err: errors.New("i/o timeout")}
+}
+
+// TestGonePeer: an entry whose box is gone holds up one refusal, and no later one; once it is back its way is used again.
+func TestGonePeer(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
+		network := standin.NewNetwork()
+		peer := jobstore.NewWriter(log.Client("b"), hedge.NewLatency(), followed(ctx, log, "b"), func() []string { return nil }, "b", http.DefaultClient, zerolog.Nop())
+		router := httprouter.New()
+		router.HandlerFunc(http.MethodPost, jobstore.RecordsPath, peer.ServeWrite)
+		network.Attach("http://b", router)
+		client := network.Client("http://a")
+		dial := &slowDial{RoundTripper: client.Transport, gone: true}
+		client.Transport = dial
+		w := jobstore.NewWriter(log.Client("a"), hedge.NewLatency(), followed(ctx, log, "a"), func() []string { return []string{"a", "b"} }, "a", client, zerolog.Nop())
+		log.SetFault("a", jobtest.Fault{Refuse: true})
+		refused := func(within time.Duration) {
+			t.Helper()
+			began := time.Now()
+			if err := w.Write(ctx, submission(t, one, "")); !jobstore.NotDone(err) {
+				t.Errorf("got %v, want a refusal", err)
+			}
+			if took := time.Since(began); took > within {
+				t.Errorf("the refusal took %v, want at most %v", took, within)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		refused(500 * time.Millisecond)
+		for range 20 {
+			time.Sleep(900 * time.Millisecond)
+			refused(20 * time.Millisecond)
+		}
+		dial.setGone(false)
+		time.Sleep(1200 * time.Millisecond)
+		refused(20 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		if err := w.Write(ctx, submission(t, one, "")); err != nil {
+			t.Errorf("the way of an entry that is back is not used: %v", err)
+		}
+	})
+}
+
+func followed(ctx context.Context, log *jobtest.Log, name string) *jobstore.Replica {
+	r := jobstore.NewReplica(log.Client(name), zerolog.Nop())
+	go r.Run(ctx)
+	return r
+}
+
 // TestClaims: the log takes the claims of two entries for doubles of one call and answers both with success. Only the one
 // whose claim is read back leads.
 func TestClaims(t *testing.T) {
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -25,8 +25,10 @@
 	// twice is harmless.
 	keepLimit = 2 * time.Second
 	keepPause = 150 * time.Millisecond
-	// awayFor is how long an entry that was not there is not asked again.
-	awayFor = 5 * time.Second
+	// lookAgain is the pause between two looks at an entry that was not there. Callers do not wait for these looks: one whose box is gone
+	// for good would hold each of their calls up for the time that it takes to connect.
+	lookAgain   = time.Second
+	lookTimeout = 500 * time.Millisecond
 	// keepProof is how old the last answer of the log may be so that a record is sent there. A log that has been silent
 	// for longer would leave it uncertain whether the record is kept.
 	keepProof = 1200 * time.Millisecond
@@ -45,7 +47,7 @@
 	logger zerolog.Logger
 
 	mu sync.Mutex
-	// unreached holds when an entry was last found not to be there.
+	// unreached holds the entries that were found not to be there, and when they were last looked at.
 	unreached map[string]time.Time
 }
 
@@ -97,11 +99,31 @@
 	return tries
 }
 
-// isAway reports whether an entry was found not to be there a short while ago: asking it would only take time.
+// isAway reports whether an entry was found not to be there, and has not been found since: asking it would only take time.
 func (wr *Writer) isAway(address string) bool {
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
-	return time.Since(wr.unreached[address]) < awayFor
+	looked, away := wr.unreached[address]
+	if away && time.Since(looked) > lookAgain {
+		wr.unreached[address] = time.Now()
+		go wr.look(address)
+	}
+	return away
+}
+
+// look looks whether an entry is there again.
+func (wr *Writer) look(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	var none struct{}
+	err := jsonhttp.Call(ctx, wr.client, "jobstore.look", http.MethodGet, "http://"+address, RecordsPath, nil, &none)
+	if fault.NotReached(err) || ctx.Err() != nil {
+		return
+	}
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+	delete(wr.unreached, address)
+	wr.logger.Info().Str("step", "jobstore.look").Str("entry", address).Msg("entry is there again")
 }
 
 func (wr *Writer) reachesLog() bool {
@@ -147,9 +169,11 @@
 	var answer kept
 	err := jsonhttp.Call(ctx, wr.client, "jobstore.ask", http.MethodPost, "http://"+address, RecordsPath, record, &answer)
 	if fault.NotReached(err) {
-		wr.mu.Lock()
-		wr.unreached[address] = time.Now()
-		wr.mu.Unlock()
+		if ctx.Err() == nil {
+			wr.mu.Lock()
+			wr.unreached[address] = time.Now()
+			wr.mu.Unlock()
+		}
 		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	var status *jsonhttp.StatusError
