Tests and stand-ins of the decision in files of one thing each

Change: the fixture, placement, and preemption have a test file each; orders to a stand-in worker have theirs.

--- /dev/null
+++ b/dispatch/fixture_test.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+)
+
+const service = "roster"
+
+// fixture is a controller with workers and jobs that a test puts there.
+type fixture struct {
+	t       testing.TB
+	control *Controller
+	now     time.Time
+	number  int
+}
+
+func newFixture(t testing.TB, racks, perRack int) *fixture {
+	log := jobtest.NewLog(1)
+	follower := catalog.NewFollower(log.Client("c"), "config", func([]byte) (*catalog.Catalog, error) {
+		c := catalog.Catalog{Version: 1, Teams: []catalog.Team{{Name: "sure", Guaranteed: 16}, {Name: "other"}}}
+		return c.WithIndex(), nil
+	}, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if _, err := log.Client("o").Append(ctx, []jobstore.Record{{Key: "config", Value: []byte("1")}}, jobstore.Condition{}); err != nil {
+		t.Fatal(err)
+	}
+	go follower.Run(ctx)
+	for c, _ := follower.Current(); c == nil; c, _ = follower.Current() {
+		time.Sleep(time.Millisecond)
+	}
+	b := &fixture{t: t, now: time.Now()}
+	b.control = New(DefaultSettings(), Parts{Catalog: follower, Logger: zerolog.Nop(), Metrics: NewMetrics(tally.NoopScope)})
+	for r := range racks {
+		for w := range perRack {
+			name := fmt.Sprintf("w%d-%d", r, w)
+			b.control.workers[name] = &worker{
+				name: name, heard: b.now, runs: map[assignment.RunID]observed{},
+				life: &assignment.Life{
+					ID: name + "/1", Service: service, Rack: fmt.Sprintf("r%d", r), Labels: []string{"a", fmt.Sprintf("r%d", r)},
+					Room: job.Need{CPU: 64_000, Memory: 128_000, Accelerators: 8},
+				},
+			}
+		}
+	}
+	return b
+}
+
+// job adds a job of one step.
+func (b *fixture) job(priority int, team string, s job.Step) *tracked {
+	b.number++
+	if s.Need == (job.Need{}) {
+		s.Need = job.Need{CPU: 8000, Memory: 16_000, Accelerators: 8}
+	}
+	if s.Estimate == 0 {
+		s.Estimate = 5 * time.Second
+	}
+	id := job.ID(fmt.Sprintf("%016x", b.number))
+	t := newTracked(&job.Job{
+		ID: id, Service: service, Priority: priority, Team: team, Attempts: 3, Stretch: 3, Aim: time.Second,
+		Accepted: b.now.Add(time.Duration(b.number) * time.Millisecond), Steps: []job.Step{s},
+	})
+	b.control.jobs[id] = t
+	return t
+}
+
+// plan makes one decision, after a time in which all workers were heard.
+func (b *fixture) plan(after time.Duration) {
+	b.now = b.now.Add(after)
+	for _, w := range b.control.workers {
+		w.heard = b.now
+	}
+	b.control.Plan(context.Background(), b.now)
+}
+
+// logged lets the control log into a buffer, and returns a count of the lines of an event.
+func (b *fixture) logged() func(event string) int {
+	var out strings.Builder
+	b.control.logger = zerolog.New(&out)
+	return func(event string) int { return strings.Count(out.String(), event) }
+}
+
+// observe lets workers report the progress of what is placed on them.
+func (b *fixture) observe(t *tracked, began time.Time, percent int) {
+	t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
+		id := assignment.RunID{Task: name, Run: task.Run}
+		b.control.workers[task.Worker].runs[id] = observed{percent: percent, since: began, advanced: b.now, baseAt: began}
+	})
+}
+
+// at lists the workers of a job's tasks, by index.
+func (b *fixture) at(t *tracked) []string {
+	var names []string
+	for i := range t.job.Steps[0].Tasks {
+		task := t.progress.Task(job.TaskName{Job: t.job.ID, Index: i})
+		if task != nil && task.Placed() {
+			names = append(names, task.Worker)
+		}
+	}
+	return names
+}
+
+// finish ends all that is placed of a job.
+func (b *fixture) finish(t *tracked, how job.Ending) {
+	t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
+		b.control.endTask(t, name, task.Run, task.Life, how, "")
+	})
+}
+
+func racksOf(names []string) map[string]int {
+	racks := map[string]int{}
+	for _, n := range names {
+		rack, _, _ := strings.Cut(n, "-")
+		racks[rack]++
+	}
+	return racks
+}
--- /dev/null
+++ b/dispatch/preempt_test.go
@@ -0,0 +1,242 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// TestUrgentOrder: what may be in time comes before what is late, small jobs before large ones, and a guarantee before all.
+func TestUrgentOrder(t *testing.T) {
+	small := job.Need{CPU: 4000, Memory: 1000, Accelerators: 2}
+	tests := []struct {
+		name          string
+		first, second func(b *fixture) *tracked
+	}{
+		{
+			"small before large",
+			func(b *fixture) *tracked { return b.job(0, "other", job.Step{Tasks: 1}) },
+			func(b *fixture) *tracked { return b.job(0, "other", job.Step{Tasks: 1, Need: small}) },
+		},
+		{
+			"in time before late",
+			func(b *fixture) *tracked {
+				late := b.job(0, "other", job.Step{Tasks: 1, Need: small})
+				late.job.Accepted = b.now.Add(-12 * time.Second)
+				return late
+			},
+			func(b *fixture) *tracked { return b.job(0, "other", job.Step{Tasks: 1}) },
+		},
+		{
+			"guaranteed before small",
+			func(b *fixture) *tracked { return b.job(0, "other", job.Step{Tasks: 1, Need: small}) },
+			func(b *fixture) *tracked { return b.job(0, "sure", job.Step{Tasks: 1}) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 1, 1)
+			first, second := test.first(b), test.second(b)
+			b.plan(0)
+			if len(b.at(second)) != 1 || len(b.at(first)) != 0 {
+				t.Errorf("the one that came first is at %v, the other at %v", b.at(first), b.at(second))
+			}
+		})
+	}
+}
+
+func TestPreemption(t *testing.T) {
+	t.Run("no more work is lostWork away than the urgent job is worth", func(t *testing.T) {
+		tests := []struct {
+			name     string
+			team     string
+			worked   time.Duration
+			accepted time.Duration
+			stops    int
+		}{
+			{"a little work", "other", time.Second, 0, 1},
+			{"much work", "other", 12 * time.Second, 0, 0},
+			{"much work, but a guarantee", "sure", 12 * time.Second, 0, 1},
+			{"late, and some work", "other", time.Second, -5 * time.Second, 0},
+		}
+		for _, test := range tests {
+			t.Run(test.name, func(t *testing.T) {
+				b := newFixture(t, 1, 1)
+				victim := b.job(1, "other", job.Step{Tasks: 1, Estimate: 20 * time.Second})
+				b.plan(0)
+				b.now = b.now.Add(test.worked)
+				b.observe(victim, b.now.Add(-test.worked), 50)
+				urgent := b.job(0, test.team, job.Step{Tasks: 1, Estimate: time.Second})
+				urgent.job.Accepted = b.now.Add(test.accepted)
+				b.plan(0)
+				if len(victim.stopping) != test.stops {
+					t.Errorf("%d runs were told to stop, want %d", len(victim.stopping), test.stops)
+				}
+			})
+		}
+	})
+	t.Run("the cheapest yields", func(t *testing.T) {
+		b := newFixture(t, 1, 3)
+		old := b.job(2, "other", job.Step{Tasks: 1})
+		saves := b.job(1, "other", job.Step{Tasks: 1, Checkpoint: true})
+		young := b.job(2, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		b.now = b.now.Add(3 * time.Second)
+		b.observe(old, b.now.Add(-3*time.Second), 60)
+		b.observe(saves, b.now.Add(-3*time.Second), 60)
+		b.observe(young, b.now.Add(-time.Second), 20)
+		b.job(0, "sure", job.Step{Tasks: 1, Estimate: 500 * time.Millisecond})
+		b.plan(0)
+		if len(saves.stopping) != 1 || len(old.stopping)+len(young.stopping) != 0 {
+			t.Errorf("told to stop: old %d, saves %d, young %d; want only what saves its work", len(old.stopping), len(saves.stopping), len(young.stopping))
+		}
+	})
+	t.Run("what was stopped before yields later", func(t *testing.T) {
+		b := newFixture(t, 1, 2)
+		before := b.job(1, "other", job.Step{Tasks: 1, Checkpoint: true})
+		b.plan(0)
+		b.finish(before, job.EndStopped)
+		other := b.job(1, "other", job.Step{Tasks: 1, Checkpoint: true})
+		b.plan(0)
+		b.observe(before, b.now, 10)
+		b.observe(other, b.now, 10)
+		b.job(0, "sure", job.Step{Tasks: 1})
+		b.plan(time.Second)
+		if len(before.stopping) != 0 || len(other.stopping) != 1 {
+			t.Errorf("told to stop: the one stopped before %d, the other %d", len(before.stopping), len(other.stopping))
+		}
+	})
+	t.Run("freed room is kept for the one it was freed for", func(t *testing.T) {
+		b := newFixture(t, 1, 1)
+		victim := b.job(2, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		urgent := b.job(0, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		b.job(1, "other", job.Step{Tasks: 1})
+		b.finish(victim, job.EndStopped)
+		b.plan(100 * time.Millisecond)
+		if got := b.at(urgent); len(got) != 1 {
+			t.Errorf("the urgent task is placed on %v", got)
+		}
+	})
+	t.Run("freed room is not for a smaller urgent job that came later", func(t *testing.T) {
+		b := newFixture(t, 1, 1)
+		victim := b.job(2, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		large := b.job(0, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		small := b.job(0, "other", job.Step{Tasks: 1, Need: job.Need{CPU: 1000, Memory: 1000, Accelerators: 1}})
+		b.finish(victim, job.EndStopped)
+		b.plan(300 * time.Millisecond)
+		if len(b.at(large)) != 1 || len(b.at(small)) != 0 {
+			t.Errorf("the large one is at %v, the small one at %v", b.at(large), b.at(small))
+		}
+	})
+	t.Run("a whole gang yields, and nothing else", func(t *testing.T) {
+		b := newFixture(t, 1, 3)
+		gang := b.job(1, "other", job.Step{Tasks: 2, Gang: true})
+		alone := b.job(1, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		b.now = b.now.Add(2 * time.Second)
+		b.observe(gang, b.now.Add(-2*time.Second), 40)
+		b.observe(alone, b.now.Add(-2*time.Second), 40)
+		b.job(0, "sure", job.Step{Tasks: 2, Gang: true})
+		b.plan(0)
+		if len(gang.stopping) != 2 || len(alone.stopping) != 0 {
+			t.Errorf("told to stop: %d of the gang, %d alone", len(gang.stopping), len(alone.stopping))
+		}
+	})
+	t.Run("a guarantee takes back what others of priority 0 have borrowed", func(t *testing.T) {
+		b := newFixture(t, 1, 2)
+		borrower := b.job(0, "other", job.Step{Tasks: 2})
+		b.plan(0)
+		b.observe(borrower, b.now, 10)
+		b.job(0, "sure", job.Step{Tasks: 1})
+		b.plan(time.Second)
+		if len(borrower.stopping) != 1 {
+			t.Errorf("%d of the borrower's tasks were told to stop, want 1", len(borrower.stopping))
+		}
+	})
+	t.Run("without a guarantee priority 0 does not yield to priority 0", func(t *testing.T) {
+		b := newFixture(t, 1, 1)
+		first := b.job(0, "other", job.Step{Tasks: 1})
+		b.plan(0)
+		b.job(0, "other", job.Step{Tasks: 1})
+		b.plan(time.Second)
+		if len(first.stopping) != 0 {
+			t.Error("it was told to stop")
+		}
+	})
+	t.Run("nothing is stopped for what comes in time by itself", func(t *testing.T) {
+		b := newFixture(t, 1, 1)
+		ending := b.job(1, "other", job.Step{Tasks: 1, Estimate: 2 * time.Second})
+		b.plan(0)
+		b.now = b.now.Add(1900 * time.Millisecond)
+		b.observe(ending, b.now.Add(-1900*time.Millisecond), 95)
+		urgent := b.job(0, "other", job.Step{Tasks: 1, Estimate: time.Second})
+		urgent.job.Accepted = b.now
+		b.plan(0)
+		if len(ending.stopping) != 0 {
+			t.Error("what ends in 0.1 s was told to stop")
+		}
+	})
+	t.Run("what lasts does not yield", func(t *testing.T) {
+		b := newFixture(t, 1, 1)
+		lasts := b.job(2, "other", job.Step{Tasks: 1, Lasts: true, Bounded: true})
+		b.plan(0)
+		b.job(0, "sure", job.Step{Tasks: 1})
+		b.plan(time.Second)
+		if len(lasts.stopping) != 0 {
+			t.Error("it was told to stop")
+		}
+	})
+	t.Run("a member of a gang that has done its work waits for the others", func(t *testing.T) {
+		b := newFixture(t, 1, 3)
+		gang := b.job(1, "other", job.Step{Tasks: 2, Gang: true, Estimate: 4 * time.Second})
+		b.plan(0)
+		began := b.now
+		b.plan(4 * time.Second)
+		b.observe(gang, began, 99)
+		b.plan(5 * time.Second)
+		if len(gang.stopping) != 0 {
+			t.Errorf("%d members were told to stop", len(gang.stopping))
+		}
+	})
+	t.Run("a run that stands still is moved", func(t *testing.T) {
+		b := newFixture(t, 1, 2)
+		j := b.job(1, "other", job.Step{Tasks: 1, Estimate: 4 * time.Second})
+		b.plan(0)
+		b.observe(j, b.now, 10)
+		b.plan(2 * time.Second)
+		if len(j.stopping) != 0 {
+			t.Error("it was told to stop after 2 s")
+		}
+		b.plan(time.Second)
+		if len(j.stopping) != 1 {
+			t.Error("it was not told to stop after 3 s")
+		}
+	})
+}
+
+// TestEvacuation: off a leaving worker goes what can't end there, what saves its work as late as it can.
+func TestEvacuation(t *testing.T) {
+	b := newFixture(t, 1, 1)
+	small := job.Need{CPU: 1000, Memory: 1000, Accelerators: 1}
+	ends := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 2 * time.Second})
+	loses := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second})
+	saves := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second, Checkpoint: true})
+	lasts := b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second, Lasts: true})
+	b.plan(0)
+	w := b.control.workers["w0-0"]
+	w.life.Leaving, w.leaves = true, b.now.Add(4*time.Second)
+	b.plan(100 * time.Millisecond)
+	stopped := func(j *tracked) bool { return len(j.stopping) > 0 }
+	if stopped(ends) || !stopped(loses) || stopped(saves) || stopped(lasts) {
+		t.Errorf("told to stop at once: %v %v %v %v, want only the second", stopped(ends), stopped(loses), stopped(saves), stopped(lasts))
+	}
+	b.plan(2800 * time.Millisecond)
+	if !stopped(saves) || stopped(lasts) {
+		t.Errorf("shortly before the end: what saves %v, what lasts %v", stopped(saves), stopped(lasts))
+	}
+}
--- /dev/null
+++ b/jobtest/orders.go
@@ -0,0 +1,197 @@
+package jobtest
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/runner"
+)
+
+var errLost = errors.New("the answer was lost")
+
+// order lets the worker's faults strike an order, and carries it out: at once, or late.
+func (w *Worker) order(ctx context.Context, o runner.Order, carry func() error) (int64, error) {
+	if err := sleep(ctx, time.Millisecond); err != nil {
+		return 0, err
+	}
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	if !w.up || w.unreachable {
+		w.all.mu.Unlock()
+		<-ctx.Done()
+		w.all.mu.Lock()
+		return 0, ctx.Err()
+	}
+	if w.all.random.Float64() < w.lateShare {
+		time.AfterFunc(time.Duration(2+w.all.random.IntN(10))*time.Second, func() {
+			w.all.mu.Lock()
+			defer w.all.mu.Unlock()
+			if w.up {
+				_ = w.carryOut(o, carry)
+			}
+		})
+		w.all.mu.Unlock()
+		<-ctx.Done()
+		w.all.mu.Lock()
+		return 0, errLost
+	}
+	return w.clock(time.Now()), w.carryOut(o, carry)
+}
+
+// carryOut checks the life and the fence. The lock must be held.
+func (w *Worker) carryOut(o runner.Order, carry func() error) error {
+	if o.Life != w.life.ID {
+		return runner.ErrOtherLife
+	}
+	if o.Fence < w.fence {
+		return runner.ErrFenced
+	}
+	w.fence = o.Fence
+	w.advance(time.Now())
+	return carry()
+}
+
+// extend reads the end of a lease.
+func (w *Worker) extend(until int64) {
+	w.until = max(w.until, min(until, w.clock(time.Now())+maxLease.Milliseconds()))
+}
+
+// Start implements runner.Worker.
+func (w *Worker) Start(ctx context.Context, o runner.Order, s assignment.Start, until int64) (int64, error) {
+	return w.order(ctx, o, func() error { return w.start(s, until) })
+}
+
+func (w *Worker) start(s assignment.Start, until int64) error {
+	now := time.Now()
+	if until <= w.clock(now) {
+		return runner.ErrLate
+	}
+	if r := w.runs[s.Task]; r != nil && r.id.Run == s.Run {
+		w.extend(until)
+		return nil
+	}
+	if s.Run <= w.highest[s.Task] || w.runs[s.Task] != nil {
+		w.extend(until)
+		return runner.ErrOld
+	}
+	step := w.all.stepOf(s.Task)
+	w.extend(until)
+	if !step.Reserved().Fits(w.free()) {
+		return runner.ErrNoRoom
+	}
+	w.all.check(w, s)
+	r := &run{id: s.RunID, need: step.Reserved(), arrived: now, pace: 100, lostUntil: now, work: w.all.workOf(s.Task), fails: w.all.random.Float64() < w.all.FailureShare}
+	if r.resumed, _ = time.ParseDuration(s.Saved); !step.Gang {
+		r.begun = now
+	}
+	w.runs[s.Task] = r
+	w.all.Starts++
+	w.all.begun[s.Task.Job] = true
+	return nil
+}
+
+// workOf is how long a task works: a second to three where nothing else is set, the same in each run.
+func (ws *Workers) workOf(name job.TaskName) time.Duration {
+	if ws.Work > 0 {
+		return ws.Work
+	}
+	return time.Second + time.Duration((name.Index*37+len(ws.jobs))%20)*100*time.Millisecond
+}
+
+func (w *Worker) free() job.Need {
+	free := w.life.Room
+	for _, r := range w.runs {
+		free = free.Plus(r.need, -1)
+	}
+	return free
+}
+
+// Stop implements runner.Worker.
+func (w *Worker) Stop(ctx context.Context, o runner.Order, id assignment.RunID) (int64, error) {
+	return w.order(ctx, o, func() error {
+		r := w.runs[id.Task]
+		if r == nil || r.id.Run != id.Run {
+			w.highest[id.Task] = max(w.highest[id.Task], id.Run)
+			return nil
+		}
+		if r.stopping.IsZero() {
+			r.stopping = time.Now().Add(stopTime)
+		}
+		return nil
+	})
+}
+
+// Pace implements runner.Worker.
+func (w *Worker) Pace(ctx context.Context, o runner.Order, id assignment.RunID, percent int) (int64, error) {
+	return w.order(ctx, o, func() error {
+		if r := w.runs[id.Task]; r != nil && r.id.Run == id.Run {
+			r.advance(time.Now())
+			r.pace = percent
+		}
+		return nil
+	})
+}
+
+// Hold implements runner.Worker.
+func (w *Worker) Hold(ctx context.Context, o runner.Order, until, seen int64, wait time.Duration) (runner.Listing, int64, error) {
+	var l runner.Listing
+	clock, err := w.order(ctx, o, func() error {
+		if until > w.clock(time.Now()) {
+			w.extend(until)
+		}
+		w.forget(seen)
+		return nil
+	})
+	if err != nil {
+		return l, clock, err
+	}
+	for waited := time.Duration(0); ; waited += tick {
+		w.all.mu.Lock()
+		if o.Life != w.life.ID || !w.up || w.unreachable {
+			w.all.mu.Unlock()
+			<-ctx.Done()
+			return l, 0, ctx.Err()
+		}
+		l, clock = w.listing(), w.clock(time.Now())
+		w.all.mu.Unlock()
+		if len(l.Ends) > 0 || waited >= wait {
+			return l, clock, nil
+		}
+		if err := sleep(ctx, tick); err != nil {
+			return l, 0, err
+		}
+	}
+}
+
+// forget drops the ends that the scheduler has taken note of.
+func (w *Worker) forget(seen int64) {
+	var rest []assignment.End
+	for _, e := range w.ends {
+		if e.Number > seen {
+			rest = append(rest, e)
+			continue
+		}
+		// An end counts as taken note of only if the lease did not lapse in between.
+		if !w.lapsed.After(w.endedAt[e.Number]) {
+			w.all.acknowledge(e)
+		}
+	}
+	w.ends = rest
+}
+
+func (w *Worker) listing() runner.Listing {
+	w.advance(time.Now())
+	var l runner.Listing
+	for _, r := range w.runs {
+		percent := 0
+		if !r.begun.IsZero() {
+			percent = min(99, int(100*r.worked(time.Now())/r.work))
+		}
+		l.Runs = append(l.Runs, assignment.Run{RunID: r.id, Percent: percent, Saved: w.saved(r), Gauge: w.gauge(r)})
+	}
+	l.Ends = append(l.Ends, w.ends...)
+	return l
+}
