Idle connections of a leaving entry stay open; the soak starts a process once

Changes: while an entry leaves, each connection ends with its next answer; Process.StartAgain is atomic and Signal passes over processes that have ended; the check of the log is a bounded wait for the same two lines.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -231,12 +231,8 @@
 		if err := b.process.Signal(syscall.SIGCONT); err != nil {
 			return err
 		}
-		select {
-		case <-b.process.Done():
-			if err := b.process.Start(); err != nil {
-				return err
-			}
-		default:
+		if err := b.process.StartAgain(); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/cmd/soak/explain_test.go
+++ b/cmd/soak/explain_test.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -174,7 +173,7 @@
 	answers := make(chan standin.Answer, 1)
 	go func() { answers <- p.submit(j) }()
 	time.Sleep(300 * time.Millisecond)
-	_ = p.cluster.entries[0].process.Signal(syscall.SIGKILL)
+	p.cluster.entries[0].process.Kill()
 	if answer := <-answers; answer.Status != 0 {
 		t.Fatalf("the caller got status %d, want no answer", answer.Status)
 	}
@@ -188,5 +187,7 @@
 		t.Errorf("an entry says that the caller was told so:\n%s", trace)
 	}
 	p.wantInOrder(trace, `event="run is placed"`, `how=done`, `event="job ended"`)
-	p.wantInOrder(p.log("entry-0"), `event="entry starts"`, `event="entry starts"`)
+	p.eventually("the entry starts again, and its log says so", func() bool {
+		return strings.Count(p.log("entry-0"), `event="entry starts"`) == 2
+	})
 }
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -152,12 +152,7 @@
 
 // start starts a process that has ended.
 func (s *striker) start(b *box) {
-	select {
-	case <-b.process.Done():
-	default:
-		return
-	}
-	if err := b.process.Start(); err != nil {
+	if err := b.process.StartAgain(); err != nil {
 		s.breaks("%s does not start: %v", b.name, err)
 	}
 }
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -144,9 +144,6 @@
 	e.telemetry.Log.Info().Str("step", "stop").Msg("entry leaves")
 	close(e.leaving)
 	e.candidate.Resign()
-	for _, server := range servers {
-		server.SetKeepAlivesEnabled(false)
-	}
 	sleep(running, drainFor)
 	stopping, done := context.WithTimeout(running, e.settings.Grace()-drainFor-time.Second)
 	defer done()
@@ -169,7 +166,7 @@
 	admission.NewOperators(e.replica).Register(inner)
 	inner.Handler(http.MethodGet, "/metrics", e.telemetry.MetricsHandler)
 	handlers := map[string]http.Handler{
-		e.settings.Listen.Front:             platform.NewCallers(e.admission),
+		e.settings.Listen.Front:             closeWhenLeaving(platform.NewCallers(e.admission), e.leaving),
 		e.settings.Listen.Ready:             platform.Ready(e.ready),
 		e.settings.InnerAddress(innerPlace): inner,
 	}
--- a/cmd/yarrowgraded/serve.go
+++ b/cmd/yarrowgraded/serve.go
@@ -121,3 +121,16 @@
 	r.telemetry.Close(stopping)
 	return err
 }
+
+// closeWhenLeaving lets each connection end with its next answer once the process leaves. Idle ones stay open meanwhile: to close
+// them at once would cut the calls that are on their way.
+func closeWhenLeaving(h http.Handler, leaving <-chan struct{}) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-leaving:
+			w.Header().Set("Connection", "close")
+		default:
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/loopback/process.go
+++ b/loopback/process.go
@@ -1,6 +1,7 @@
 package loopback
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -19,6 +20,9 @@
 	// Log is the file to which both outputs are appended.
 	Log string
 
+	// starting is held while the process starts: two that both saw it end must not both start it.
+	starting sync.Mutex
+
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -48,6 +52,18 @@
 	return nil
 }
 
+// StartAgain runs the program again if it has ended; otherwise it does nothing.
+func (p *Process) StartAgain() error {
+	p.starting.Lock()
+	defer p.starting.Unlock()
+	select {
+	case <-p.Done():
+		return p.Start()
+	default:
+		return nil
+	}
+}
+
 // ID is the process's id.
 func (p *Process) ID() int {
 	p.mu.Lock()
@@ -71,8 +87,12 @@
 	case <-done:
 		return nil
 	default:
-		return cmd.Process.Signal(s)
 	}
+	if err := cmd.Process.Signal(s); !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	// It has ended, and is only not waited for yet.
+	return nil
 }
 
 // Kill ends the process at once, also if it is paused, and waits until it is gone.
