What can wait leaves room free for urgent jobs

Change: workers of the rack with the most room, as many as nine in ten urgent jobs of the last minute would have needed, at most 0.6 of a service, are left free by jobs that are not urgent, as long as these have not spent 0.8 of their slack on it, and something of them runs or they have waited less than 2 s. It adapts to what came; without urgent jobs nothing is kept.

TestHeadroom is new.

--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -113,6 +113,13 @@
 	return names
 }
 
+// finishAll ends all that is placed.
+func (b *fixture) finishAll(how job.Ending) {
+	for _, t := range b.control.jobs {
+		b.finish(t, how)
+	}
+}
+
 // finish ends all that is placed of a job.
 func (b *fixture) finish(t *tracked, how job.Ending) {
 	t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
--- /dev/null
+++ b/dispatch/headroom_test.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// TestHeadroom: what can wait leaves a rack's worth of room to urgent jobs, if such have come lately, and takes it when it has
+// waited for long or when nothing of its job runs.
+func TestHeadroom(t *testing.T) {
+	one := job.Need{CPU: 8000, Memory: 16_000, Accelerators: 8}
+	tests := []struct {
+		name   string
+		urgent bool
+		// after is how long the sweep has waited; runs says that a task of it runs already.
+		after time.Duration
+		runs  bool
+		want  int
+	}{
+		{"no urgent job has come", false, 0, false, 4},
+		{"an urgent job came", true, 0, false, 2},
+		{"nothing of it runs for long", true, 3 * time.Second, false, 4},
+		{"something of it runs", true, 3 * time.Second, true, 2},
+		{"its slack is spent", true, 10 * time.Second, true, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 2, 2)
+			if test.urgent {
+				b.job(0, "", job.Step{Tasks: 2, Need: one, Estimate: time.Second})
+				b.plan(0)
+				b.finishAll(job.EndDone)
+			}
+			sweep := b.job(2, "", job.Step{Tasks: 4, Need: one})
+			if test.runs {
+				b.plan(0)
+			}
+			b.plan(test.after)
+			if got := len(b.at(sweep)); got != test.want {
+				t.Errorf("%d tasks of the sweep are placed, want %d", got, test.want)
+			}
+		})
+	}
+	t.Run("urgent jobs use it", func(t *testing.T) {
+		b := newFixture(t, 2, 2)
+		b.job(0, "", job.Step{Tasks: 2, Need: one, Estimate: time.Second})
+		b.plan(0)
+		b.finishAll(job.EndDone)
+		b.job(2, "", job.Step{Tasks: 4, Need: one})
+		b.plan(0)
+		next := b.job(0, "", job.Step{Tasks: 2, Need: one, Gang: true, SameRack: true})
+		b.plan(0)
+		if got := racksOf(b.at(next)); len(got) != 1 || len(b.at(next)) != 2 {
+			t.Errorf("the urgent gang is at %v, want one rack at once", b.at(next))
+		}
+	})
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -56,6 +56,8 @@
 	preempts bool
 	// work is what all tasks of the job do, in core-seconds.
 	work float64
+	// leavesHeadroom says that the unit can wait for room that is not kept for urgent jobs.
+	leavesHeadroom bool
 }
 
 // plan is one decision: it is made anew in each pass.
@@ -71,6 +73,8 @@
 	held       int
 	// noRoom holds the searches that found nothing. Room only gets less during a decision, so they would find nothing again.
 	noRoom map[search]bool
+	// headroom holds the nodes that are left free for urgent jobs by what can wait.
+	headroom map[*node]bool
 }
 
 // Plan decides what to start and what to stop, and notes it in the jobs' progress. Questions to the adviser end with ctx.
@@ -86,6 +90,7 @@
 	if c.has(Evacuation) {
 		p.evacuate()
 	}
+	p.keepHeadroom()
 	for _, w := range p.waiting() {
 		p.place(w)
 	}
@@ -260,6 +265,7 @@
 				expired: late && t.job.Times == 0 && !t.job.Lasting(),
 				late:    t.job.Priority == 0 && p.now.Add(p.c.length(t, u.Step)).After(due),
 				work:    p.c.work(t), preempts: p.now.Sub(t.preemptedFor[u.Tasks[0]]) < keptFor,
+				leavesHeadroom: p.leavesHeadroom(t, u, due, chain),
 			})
 		}
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -44,6 +44,8 @@
 	Evacuation Mechanism = "evacuation"
 	// FullestFirst: the fullest rack and worker are filled first. Without: in the order of names.
 	FullestFirst Mechanism = "fullest-first"
+	// Headroom: what can wait leaves room free for urgent jobs like those seen lately. Without: it takes whatever fits.
+	Headroom Mechanism = "headroom"
 	// DataPatience: a task waits for room near its data for a while. Without: it goes elsewhere at once.
 	DataPatience Mechanism = "data-patience"
 )
@@ -52,7 +54,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Guarantees, InTimeFirst, SmallFirst, ExpiredLast, Reservations, Preemption, PreemptionBudget, RepeatCost, WaitForRoom, KeepFreed,
-		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, DataPatience,
+		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, Headroom, DataPatience,
 	}
 }
 
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -17,6 +17,7 @@
 	need                     job.Need
 	tasks                    int
 	gang, sameRack           bool
+	leavesHeadroom           bool
 	length                   time.Duration
 	// job is set where the outcome depends on what else of the job runs, or on what was said of it.
 	job job.ID
@@ -27,7 +28,7 @@
 	s := search{
 		service: w.tracked.job.Service, label: w.step.Label, dataRack: w.step.DataRack, need: w.step.Reserved(),
 		tasks: len(w.unit.Tasks), gang: w.step.Gang, sameRack: w.step.SameRack,
-		length: w.length,
+		length: w.length, leavesHeadroom: w.leavesHeadroom,
 	}
 	if w.step.PerWorker > 0 || w.tracked.job.Advised || w.step.DataRack != "" || len(w.tracked.failedOn) > 0 || w.step.Fills || w.step.Target > 0 {
 		s.job = w.tracked.job.ID
@@ -157,7 +158,7 @@
 	need := w.step.Reserved()
 	var candidates []*node
 	for _, n := range domain {
-		if n.usable && need.Fits(room(n)) && allowed(w, n) && p.mayUse(w, n) && p.hasTicket(w, n) && !p.failedThere(w, n) && p.mayShare(w, n) {
+		if n.usable && need.Fits(room(n)) && allowed(w, n) && !(w.leavesHeadroom && p.headroom[n]) && p.mayUse(w, n) && p.hasTicket(w, n) && !p.failedThere(w, n) && p.mayShare(w, n) {
 			candidates = append(candidates, n)
 		}
 	}
