--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -3,7 +3,7 @@
 //
 // All of it is level-triggered: an answer is made from what is wanted and what the poll says, so a lost message needs no
 // care of its own. An agent obeys the highest term that it has heard of. Times that bound a lease are counted from when
-// the dispatcher sent an answer: an agent that sent its poll at t and hears that it was held for h may keep what runs
+// the leader sent an answer: an agent that sent its poll at t and hears that it was held for h may keep what runs
 // alive until t + h + Lease at the latest.
 //
 // # Usage
@@ -17,10 +17,10 @@
 	"yarrowgrade.example/yarrowgrade/job"
 )
 
-// Path is where a dispatcher takes polls.
+// Path is where a leader takes polls.
 const Path = "/internal/assignments"
 
-// LeaderPath is where an entry says who the dispatcher is.
+// LeaderPath is where an entry says who the leader is.
 const LeaderPath = "/internal/leader"
 
 // HandoverPath is where an entry is asked to take over from a leader.
@@ -133,7 +133,7 @@
 	Fills        bool  `json:"fills,omitempty"`
 }
 
-// Answer is what the dispatcher says.
+// Answer is what the leader says.
 type Answer struct {
 	Term int64 `json:"term"`
 	// Fence is what the agent sends to its worker with each order.
@@ -144,7 +144,7 @@
 	LeaseMillis int64   `json:"lease_ms"`
 	Start       []Start `json:"start,omitempty"`
 	// Stop lists runs of the poll that should not be there. Settle lists runs that the poll does not name and that are to
-	// stop all the same: their start may be under way, or the dispatcher has missed their end and waits for it.
+	// stop all the same: their start may be under way, or the leader has missed their end and waits for it.
 	Stop   []RunID `json:"stop,omitempty"`
 	Settle []RunID `json:"settle,omitempty"`
 	// Roles lists those of the worker's runs that have a target or that fill.
@@ -161,7 +161,7 @@
 func (a Answer) Held() time.Duration  { return time.Duration(a.HeldMillis) * time.Millisecond }
 func (a Answer) Lease() time.Duration { return time.Duration(a.LeaseMillis) * time.Millisecond }
 
-// Redirect says where the dispatcher is, as far as the entry knows.
+// Redirect says where the leader is, as far as the entry knows.
 type Redirect struct {
 	Term    int64  `json:"term"`
 	Address string `json:"address"`
--- a/cmd/yarrowgraded/jobagent.go
+++ b/cmd/yarrowgraded/jobagent.go
@@ -18,7 +18,7 @@
 
 const jobAgentUsage = `
 job-agent is the agent for jobs on the users' platform. It runs beside one worker, takes its heartbeats, and keeps it
-running what the dispatcher wants: it starts and stops runs, and extends their lease as long as the dispatcher does. It
+running what the leader wants: it starts and stops runs, and extends their lease as long as the leader does. It
 decides nothing and keeps nothing.
 
 Its settings come from the file that the platform names. On SIGTERM it ends at once: what runs goes on, and the next
@@ -68,13 +68,13 @@
 	return nil
 }
 
-// newJobAgent returns what an agent consists of: the way to the dispatcher, and the runner.
+// newJobAgent returns what an agent consists of: the way to the leader, and the runner.
 func newJobAgent(s *platform.Settings, t *telemetry.Telemetry) (*jobstore.Directory, *runner.Runner) {
 	client := newClient(t)
 	topic := jobstore.Metered(platform.NewStore(s, client).Topic(platform.DirectoryTopic), t.Metrics)
 	directory := jobstore.NewDirectory(topic, t.Log)
 	return directory, runner.New(
 		runner.Settings{Name: s.Node, Agent: uuid.NewString(), Lease: s.Hold(), Drift: workerDrift},
-		runner.Parts{Worker: platform.NewWorker(s, client), Dispatcher: runner.NewLeaderClient(directory, client), Logger: t.Log, Metrics: t.Metrics},
+		runner.Parts{Worker: platform.NewWorker(s, client), Leader: runner.NewLeaderClient(directory, client), Logger: t.Log, Metrics: t.Metrics},
 	)
 }
--- a/job/job.go
+++ b/job/job.go
@@ -1,7 +1,7 @@
 // Package job holds the model of a batch job: steps of tasks with dependencies, what a task needs of a worker, and what
 // has become of each task so far. It is pure: it knows no clock, no network and no store.
 //
-// A Job is what a caller submitted and never changes. A Progress is what has become of it; only the dispatcher that
+// A Job is what a caller submitted and never changes. A Progress is what has become of it; only the leader that
 // leads changes it. Both have a stored form of their own (JSON), and an ID that the caller has chosen.
 //
 // # Usage
--- a/job/progress.go
+++ b/job/progress.go
@@ -125,7 +125,7 @@
 // Progress is what has become of a job. The zero value won't do; use NewProgress.
 type Progress struct {
 	Phase Phase
-	// EndedAt is when the phase became final, by the dispatcher's clock.
+	// EndedAt is when the phase became final, by the leader's clock.
 	EndedAt time.Time
 	tasks   map[slot]*Task
 }
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -18,7 +18,7 @@
 // directoryWait is how long a read of the directory waits for news, which are rare.
 const directoryWait = 20 * time.Second
 
-// Directory follows the small topic that says which entries there are and who is the dispatcher. Agents read it instead of
+// Directory follows the small topic that says which entries there are and who is the leader. Agents read it instead of
 // the jobs.
 type Directory struct {
 	tail *Tail
@@ -55,7 +55,7 @@
 	}
 }
 
-// Learn takes over who is the dispatcher from another source.
+// Learn takes over who is the leader from another source.
 func (d *Directory) Learn(o Leader) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -66,7 +66,7 @@
 	}
 }
 
-// Leader returns who is the dispatcher, as far as is known.
+// Leader returns who is the leader, as far as is known.
 func (d *Directory) Leader() Leader {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -97,7 +97,7 @@
 	announce(ctx, log, record, Condition{})
 }
 
-// AnnounceLeader says who is the dispatcher, and tries until that is kept or a later term has been announced.
+// AnnounceLeader says who is the leader, and tries until that is kept or a later term has been announced.
 func AnnounceLeader(ctx context.Context, log Log, o Leader) {
 	record, err := LeaderRecord(o)
 	if err == nil {
--- a/jobstore/log.go
+++ b/jobstore/log.go
@@ -3,7 +3,7 @@
 //
 // The newest record of each key counts. A Replica follows the topic and holds the newest record of each key; it says how
 // old its proof is that nothing newer exists. All writers are told apart by their keys: any entry writes submissions and
-// cancels, only the leader writes progress. The log shuts out the writes of a dispatcher that has been
+// cancels, only the leader writes progress. The log shuts out the writes of a leader that has been
 // succeeded, because they carry its term.
 //
 // # Usage
--- a/jobstore/records.go
+++ b/jobstore/records.go
@@ -16,15 +16,15 @@
 	leaderKey        = "d"
 )
 
-// producerName is the name under which dispatchers write; terms order them.
+// producerName is the name under which leaders write; terms order them.
 const producerName = "dispatcher"
 
-// Leader says who is the dispatcher.
+// Leader says who is the leader.
 type Leader struct {
 	Term int64 `json:"term"`
 	// Name names one life of an entry; it is empty when leadership was given up.
 	Name string `json:"holder"`
-	// Address is where agents reach the dispatcher, such as 10.1.0.19:7000.
+	// Address is where agents reach the leader, such as 10.1.0.19:7000.
 	Address string `json:"address"`
 }
 
@@ -52,13 +52,13 @@
 	}
 }
 
-// LeaderRecord stores who is the dispatcher.
+// LeaderRecord stores who is the leader.
 func LeaderRecord(o Leader) (Record, error) {
 	value, err := json.Marshal(o)
 	return Record{Key: leaderKey, Value: value}, err
 }
 
-// TermOf returns the producer of a dispatcher's term.
+// TermOf returns the producer of a leader's term.
 func TermOf(term, sequence int64) *Producer {
 	return &Producer{Name: producerName, Epoch: term, Sequence: sequence}
 }
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -61,7 +61,7 @@
 		r.applyOne(s)
 	}
 	if n.Loaded {
-		// What was loaded may be old: it is no sign of life of the dispatcher.
+		// What was loaded may be old: it is no sign of life of the leader.
 		r.sign = time.Time{}
 	}
 	r.next = n.Next
@@ -176,7 +176,7 @@
 	return time.Since(r.watching)
 }
 
-// Leader returns who is the dispatcher, when a sign of it was last seen, and the offset up to which this is known.
+// Leader returns who is the leader, when a sign of it was last seen, and the offset up to which this is known.
 func (r *Replica) Leader() (o Leader, sign time.Time, next int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/jobtest/recovery_test.go
+++ b/jobtest/recovery_test.go
@@ -65,7 +65,7 @@
 	return 0
 }
 
-// TestTakeover measures how long jobs stand still after the dispatcher is lost in different ways. The bounds are those
+// TestTakeover measures how long jobs stand still after the leader is lost in different ways. The bounds are those
 // that follow from the timing, with a second for the job itself and its way.
 func TestTakeover(t *testing.T) {
 	tests := []struct {
@@ -108,7 +108,7 @@
 	}
 }
 
-// TestOutage: while the log is away for all, the dispatcher goes on leading, work that runs goes on, and after it jobs go
+// TestOutage: while the log is away for all, the leader goes on leading, work that runs goes on, and after it jobs go
 // on at once.
 func TestOutage(t *testing.T) {
 	within(t, func(t *testing.T, s *system) {
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -50,7 +50,7 @@
 	cancel    context.CancelFunc
 	admission *admission.Service
 	runner    *runner.Runner
-	// replica and dispatcher are an entry's.
+	// replica and leader are an entry's.
 	replica   *jobstore.Replica
 	candidate *leader.Candidate
 }
@@ -166,7 +166,7 @@
 	s.network.Attach("http://"+p.name, http.NotFoundHandler())
 	p.runner = runner.New(
 		runner.Settings{Name: p.name, Agent: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Drift: 0.03},
-		runner.Parts{Worker: s.worker[i], Dispatcher: runner.NewLeaderClient(directory, client), Logger: s.logger.With().Str("agent", p.name).Logger(), Metrics: tally.NoopScope},
+		runner.Parts{Worker: s.worker[i], Leader: runner.NewLeaderClient(directory, client), Logger: s.logger.With().Str("agent", p.name).Logger(), Metrics: tally.NoopScope},
 	)
 	go directory.Run(ctx)
 	go p.runner.Run(ctx)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -38,7 +38,7 @@
 	"yarrowgrade.example/yarrowgrade/jobstore"
 )
 
-// Timing is the pace of a dispatcher and the bounds that others count on.
+// Timing is the pace of a leader and the bounds that others count on.
 type Timing struct {
 	// Lease is how long from an answer on a worker's runs may be kept alive; Proof bounds the age of the proof
 	// of leadership with which one is given.
--- a/runner/leader.go
+++ b/runner/leader.go
@@ -16,16 +16,16 @@
 	"yarrowgrade.example/yarrowgrade/jobstore"
 )
 
-// Bounds of the exchange with a dispatcher.
+// Bounds of the exchange with a leader.
 const (
 	maxAnswerBytes = 4 << 20
-	// askTimeout bounds the question who the dispatcher is; askPause is the shortest time between two rounds of it.
+	// askTimeout bounds the question who the leader is; askPause is the shortest time between two rounds of it.
 	askTimeout = 500 * time.Millisecond
 	askPause   = 300 * time.Millisecond
 )
 
 // LeaderClient finds the leader and carries polls to it: by the directory in the log, by what entries say, and by
-// their word when the directory can't be read. It implements Dispatcher.
+// their word when the directory can't be read. It implements Leader.
 type LeaderClient struct {
 	directory *jobstore.Directory
 	client    *http.Client
@@ -39,10 +39,10 @@
 	return &LeaderClient{directory: d, client: client}
 }
 
-// errNobody says that no dispatcher is known.
-var errNobody = errors.New("no dispatcher is known")
+// errNobody says that no leader is known.
+var errNobody = errors.New("no leader is known")
 
-// Poll implements Dispatcher.
+// Poll implements Leader.
 func (l *LeaderClient) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
 	leader, changed := l.directory.Leader(), l.directory.Changed()
 	if leader.Address == "" {
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		// A poll that waits at a dispatcher that has been succeeded ends.
+		// A poll that waits at a leader that has been succeeded ends.
 		select {
 		case <-changed:
 			if l.directory.Leader().Term > leader.Term {
@@ -74,7 +74,7 @@
 	return answer, nil
 }
 
-// ask asks the entries who the dispatcher is, not too often.
+// ask asks the entries who the leader is, not too often.
 func (l *LeaderClient) ask(ctx context.Context) {
 	l.mu.Lock()
 	early := time.Since(l.asked) < askPause
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -18,7 +18,7 @@
 	}
 }
 
-// extendLoop extends the lease when the dispatcher has given a longer one, and has kept ends forgotten.
+// extendLoop extends the lease when the leader has given a longer one, and has kept ends forgotten.
 func (r *Runner) extendLoop(ctx context.Context) {
 	for {
 		select {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -8,7 +8,7 @@
 	"yarrowgrade.example/yarrowgrade/assignment"
 )
 
-// maxBusy is how often a start is tried on a worker that does nothing, before the dispatcher is told.
+// maxBusy is how often a start is tried on a worker that does nothing, before the leader is told.
 const maxBusy = 8
 
 // beginStart starts a run in the background unless it is known already. The lock must be held.
@@ -95,8 +95,8 @@
 	return false
 }
 
-// insist tells the dispatcher once more that a run is over which it still asks for, unless the end is about to be told
-// anyway. Where the order was only overtaken by the news of the end, the dispatcher passes over it. The lock must be held.
+// insist tells the leader once more that a run is over which it still asks for, unless the end is about to be told
+// anyway. Where the order was only overtaken by the news of the end, the leader passes over it. The lock must be held.
 func (r *Runner) insist(id assignment.RunID) {
 	for _, e := range r.ends {
 		if e.RunID == id {
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -100,7 +100,7 @@
 	return orders
 }
 
-// paceLoop paces what fills as long as something serves beside it. It sleeps until an answer of the dispatcher names roles.
+// paceLoop paces what fills as long as something serves beside it. It sleeps until an answer of the leader names roles.
 func (r *Runner) paceLoop(ctx context.Context) {
 	for {
 		select {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -26,18 +26,18 @@
 	Drift float64
 }
 
-// Dispatcher finds the dispatcher and carries polls to it.
-type Dispatcher interface {
+// Leader finds the leader and carries polls to it.
+type Leader interface {
 	// Poll carries a poll to the leader and returns its answer.
 	Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error)
 }
 
 // Parts are what a runner works with.
 type Parts struct {
-	Worker     Worker
-	Dispatcher Dispatcher
-	Logger     zerolog.Logger
-	Metrics    tally.Scope
+	Worker  Worker
+	Leader  Leader
+	Logger  zerolog.Logger
+	Metrics tally.Scope
 }
 
 // Pace of a runner.
@@ -52,7 +52,7 @@
 	quickPause  = 30 * time.Millisecond
 	// silentAfter is how long a worker may give no answer before nothing is extended on it any more.
 	silentAfter = 1500 * time.Millisecond
-	// pollTimeout bounds a poll: the dispatcher holds one for half a second.
+	// pollTimeout bounds a poll: the leader holds one for half a second.
 	pollTimeout = 1800 * time.Millisecond
 )
 
@@ -91,7 +91,7 @@
 	told   int64
 }
 
-// Runner keeps one worker running what the dispatcher wants.
+// Runner keeps one worker running what the leader wants.
 type Runner struct {
 	settings Settings
 	parts    Parts
@@ -99,13 +99,13 @@
 
 	mu   sync.Mutex
 	life *assignment.Life
-	// former are lives that are over; over are those of which the dispatcher has not heard it yet, with the sequence
+	// former are lives that are over; over are those of which the leader has not heard it yet, with the sequence
 	// number of the newest poll that did not say so.
 	former map[string]bool
 	over   map[string]int64
 	term   int64
 	fence  int64
-	// until is the end of the lease that the dispatcher gave.
+	// until is the end of the lease that the leader gave.
 	until time.Time
 	// clock is the worker's clock at the time read.
 	clock  int64
@@ -214,7 +214,7 @@
 	}
 }
 
-// pollLoop polls the dispatcher: one loop waits there for orders, the other one brings news at once.
+// pollLoop polls the leader: one loop waits there for orders, the other one brings news at once.
 func (r *Runner) pollLoop(ctx context.Context, wait bool, news chan struct{}) {
 	for ctx.Err() == nil {
 		if news != nil {
@@ -227,7 +227,7 @@
 		poll, generation := r.poll(wait)
 		sent := time.Now()
 		attempt, cancel := context.WithTimeout(ctx, pollTimeout)
-		answer, err := r.parts.Dispatcher.Poll(attempt, poll)
+		answer, err := r.parts.Leader.Poll(attempt, poll)
 		cancel()
 		r.metrics.polls.Inc(outcomeOf(err))
 		if err != nil {
@@ -273,7 +273,7 @@
 	return p, r.generation
 }
 
-// obey takes over a dispatcher's answer to a poll.
+// obey takes over a leader's answer to a poll.
 func (r *Runner) obey(ctx context.Context, a assignment.Answer, sent time.Time, generation int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -281,7 +281,7 @@
 		return
 	}
 	if a.Term > r.term {
-		r.parts.Logger.Info().Str("step", "runner.obey").Int64("term", a.Term).Int64("fence", a.Fence).Msg("dispatcher is followed")
+		r.parts.Logger.Info().Str("step", "runner.obey").Int64("term", a.Term).Int64("fence", a.Fence).Msg("leader is followed")
 		// What was refused or listed under the old term is told again; the fence must reach the worker first.
 		r.term = a.Term
 	}
@@ -331,7 +331,7 @@
 	return Order{Life: r.life.ID, Fence: r.fence}, true
 }
 
-// deadline is the end of the lease by the worker's clock, and false if there is none: the dispatcher has given none, or
+// deadline is the end of the lease by the worker's clock, and false if there is none: the leader has given none, or
 // the worker has been silent, in which case what it may have heard must not grow, or it would never be over. The lock
 // must be held.
 func (r *Runner) deadline(now time.Time) (int64, bool) {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -18,7 +18,7 @@
 
 const lease = 6 * time.Second
 
-// leader is a dispatcher that wants what a test tells it to want.
+// leader is a leader that wants what a test tells it to want.
 type leader struct {
 	mu     sync.Mutex
 	answer assignment.Answer
@@ -27,7 +27,7 @@
 	down   bool
 }
 
-// Poll implements runner.Dispatcher. What a poll does not name and is wanted is started.
+// Poll implements runner.Leader. What a poll does not name and is wanted is started.
 func (o *leader) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
 	o.mu.Lock()
 	o.polls = append(o.polls, p)
@@ -91,7 +91,7 @@
 		a.workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: job.Need{Accelerators: 1}}}})
 		a.worker = a.workers.Add("w", "s", "r", job.Need{Accelerators: 2})
 		a.runner = runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03},
-			runner.Parts{Worker: a.worker, Dispatcher: a.leader, Logger: zerolog.Nop(), Metrics: tally.NoopScope})
+			runner.Parts{Worker: a.worker, Leader: a.leader, Logger: zerolog.Nop(), Metrics: tally.NoopScope})
 		go a.workers.Run(ctx)
 		go a.runner.Run(ctx)
 		life, _ := a.worker.Beat()
@@ -131,7 +131,7 @@
 	})
 }
 
-// TestLeaseEnds: without a dispatcher what runs ends when the lease that it gave is over, and not before.
+// TestLeaseEnds: without a leader what runs ends when the lease that it gave is over, and not before.
 func TestLeaseEnds(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
 		a.workers.Work = time.Minute
@@ -142,7 +142,7 @@
 		a.leader.mu.Unlock()
 		time.Sleep(time.Second)
 		if !a.workers.AnyRun(task.Job) {
-			t.Error("it ended a second after the dispatcher was gone")
+			t.Error("it ended a second after the leader was gone")
 		}
 		time.Sleep(lease)
 		if a.workers.AnyRun(task.Job) {
@@ -244,7 +244,7 @@
 }
 
 // TestEndedBeforeItsAnswer: a run that ended before its start was answered is told as ended, never as one that did not start:
-// the dispatcher would start its task once more.
+// the leader would start its task once more.
 func TestEndedBeforeItsAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -254,7 +254,7 @@
 		worker := workers.Add("w", "s", "r", job.Need{Accelerators: 2})
 		o := &leader{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds(), Start: []assignment.Start{{RunID: id(1)}}}}
 		r := runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03}, runner.Parts{
-			Worker: &lossy{Worker: worker, started: map[assignment.RunID]bool{}}, Dispatcher: o, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
+			Worker: &lossy{Worker: worker, started: map[assignment.RunID]bool{}}, Leader: o, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
 		})
 		go workers.Run(ctx)
 		go r.Run(ctx)
@@ -277,7 +277,7 @@
 	})
 }
 
-// TestOtherTerm: an agent does not go back to a dispatcher of a lower term.
+// TestOtherTerm: an agent does not go back to a leader of a lower term.
 func TestOtherTerm(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
 		a.leader.set(func(answer *assignment.Answer) { answer.Term, answer.Fence = 5, 50 })
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -1,11 +1,11 @@
-// Package runner is the agent's side of jobs: it keeps one worker running what the dispatcher wants.
+// Package runner is the agent's side of jobs: it keeps one worker running what the leader wants.
 //
-// A Runner polls the dispatcher (see package assignment), starts and stops runs on its worker, keeps them alive by a lease
-// that is never longer than the one the dispatcher gave, reports what runs and what has ended, and tells the worker to
-// forget an end only when the dispatcher has kept it. It decides nothing: after a restart it knows nothing, and learns
-// all from the worker and the dispatcher.
+// A Runner polls the leader (see package assignment), starts and stops runs on its worker, keeps them alive by a lease
+// that is never longer than the one the leader gave, reports what runs and what has ended, and tells the worker to
+// forget an end only when the leader has kept it. It decides nothing: after a restart it knows nothing, and learns
+// all from the worker and the leader.
 //
-// Every order carries a fence, which rises with each life of an agent and each term of a dispatcher, so what an earlier
+// Every order carries a fence, which rises with each life of an agent and each term of a leader, so what an earlier
 // agent had under way has no effect once the worker has heard of the new one.
 //
 // # Usage
