--- /dev/null
+++ b/dispatch/reports.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+func (c *Controller) workerOf(name string) *worker {
+	w := c.workers[name]
+	if w == nil {
+		w = &worker{name: name, runs: map[assignment.RunID]observed{}}
+		c.workers[name] = w
+	}
+	return w
+}
+
+// Report takes over what the agent of a worker says. Ends come before lives that are over: what has ended done there is done.
+func (c *Controller) Report(now time.Time, poll assignment.Poll) {
+	w := c.workerOf(poll.Worker)
+	w.heard, w.silent = now, poll.Silent
+	if poll.Life != nil && poll.Listed {
+		c.reportLife(now, w, poll)
+	}
+	for _, life := range poll.Over {
+		c.lose(w.name, life, whyLifeOver)
+		if w.life != nil && w.life.ID == life {
+			// Nothing is placed there until the next life reports.
+			w.life = nil
+		}
+	}
+}
+
+// reportLife takes over what a worker that is there says by its agent.
+func (c *Controller) reportLife(now time.Time, w *worker, poll assignment.Poll) {
+	if w.life == nil || w.life.ID != poll.Life.ID {
+		c.newLife(w, poll.Life)
+	}
+	if poll.Life.Leaving && !w.life.Leaving {
+		w.leaves = now.Add(time.Duration(poll.Life.LeavesIn) * time.Millisecond)
+		c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Int64("leaves_in_ms", poll.Life.LeavesIn).Msg("worker leaves")
+	}
+	w.life = poll.Life
+	c.reportRuns(now, w, poll)
+	for _, e := range poll.Ends {
+		if e.Number > w.ends {
+			c.noteLength(e)
+			c.end(w, e)
+			w.ends = e.Number
+		}
+	}
+	for _, r := range poll.Refused {
+		if c.end(w, assignment.End{RunID: r.RunID, How: job.EndRefused}) {
+			c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Stringer("task", r.Task).Int("run", r.Run).
+				Str("reason", r.Reason).Msg("start refused")
+			if c.has(Quarantine) {
+				w.health.refused(now)
+			}
+		}
+	}
+}
+
+// newLife ends what the worker's earlier lives ran.
+func (c *Controller) newLife(w *worker, life *assignment.Life) {
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
+			if task.Worker == w.name && task.Life != life.ID {
+				c.endTask(t, name, task.Run, task.Life, job.EndLost, "")
+			}
+		})
+	}
+	c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Str("life", life.ID).Msg("worker reports")
+	w.life, w.ends, w.runs, w.health, w.leaves = life, 0, map[assignment.RunID]observed{}, health{}, time.Time{}
+}
+
+func (c *Controller) reportRuns(now time.Time, w *worker, poll assignment.Poll) {
+	runs := make(map[assignment.RunID]observed, len(poll.Runs))
+	for _, r := range poll.Runs {
+		o, known := w.runs[r.RunID]
+		if !known {
+			o = firstSeen(now, r)
+		}
+		if r.Percent > o.percent {
+			o.percent, o.advanced = r.Percent, now
+		}
+		runs[r.RunID] = o
+	}
+	w.runs = runs
+}
+
+// end takes note of the end of a run on the worker's present life. It returns false if that run is not there.
+func (c *Controller) end(w *worker, e assignment.End) bool {
+	t := c.jobs[e.Task.Job]
+	if t == nil || !c.endTask(t, e.Task, e.Run, w.life.ID, e.How, e.Saved) {
+		return false
+	}
+	now := time.Now()
+	if c.has(Quarantine) {
+		w.health.ended(now, e.Task.Job, e.How, e.Took())
+	}
+	if e.How == job.EndFailed {
+		t.failedOn[w.name] = now
+	}
+	return true
+}
+
+func (c *Controller) endTask(t *tracked, name job.TaskName, run int, life string, how job.Ending, saved string) bool {
+	before := t.progress.Phase
+	if !t.progress.End(t.job, name, run, life, how, saved) {
+		return false
+	}
+	t.dirty = true
+	c.metrics.ends.Inc(how)
+	delete(t.stopping, name)
+	c.logger.Info().Str("step", "dispatch.end").Stringer("task", name).Int("run", run).Str("how", string(how)).Msg("run ended")
+	if t.progress.Phase != before && t.progress.Phase.Final() {
+		c.logger.Info().Str("step", "dispatch.end").Str("job", string(name.Job)).Stringer("phase", t.progress.Phase).Msg("job ended")
+	}
+	return true
+}
+
+// lose ends all that is placed on a life of a worker.
+func (c *Controller) lose(name, life, why string) {
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
+			if placed.Worker == name && placed.Life == life {
+				c.loseRun(t, task, placed, why)
+			}
+		})
+	}
+}
+
+func (c *Controller) loseRun(t *tracked, name job.TaskName, placed *job.Task, why string) {
+	c.metrics.lost(why)
+	c.logger.Info().Str("step", "dispatch.lose").Stringer("task", name).Int("run", placed.Run).
+		Str("worker", placed.Worker).Str("why", why).Msg("run is lost")
+	c.endTask(t, name, placed.Run, placed.Life, job.EndLost, "")
+}
+
+// Placed are the workers on which something is placed.
+func (c *Controller) Placed() map[string]bool {
+	names := map[string]bool{}
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(_ job.TaskName, placed *job.Task) { names[placed.Worker] = true })
+	}
+	return names
+}
+
+// LeaseOver ends all that is placed on workers whose lease is surely over.
+func (c *Controller) LeaseOver(workers map[string]bool) {
+	if len(workers) == 0 {
+		return
+	}
+	for _, t := range c.jobs {
+		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
+			if workers[placed.Worker] {
+				c.loseRun(t, task, placed, whyLeaseOver)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/dispatch/state.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// tracked is a job as the control goroutine holds it.
+type tracked struct {
+	job      *job.Job
+	progress *job.Progress
+	// dirty says that the progress has changes which are not kept yet.
+	dirty bool
+	// stopping holds the runs that were told to stop.
+	stopping map[job.TaskName]int
+	// took is how long a task of a step was seen to take.
+	took map[int]time.Duration
+	// failedOn is when a run of the job last failed on a worker.
+	failedOn map[string]time.Time
+	// preemptedFor is when work was last told to stop for a unit, by its first task.
+	preemptedFor map[job.TaskName]time.Time
+	// waits is why its units were last logged to wait, by their first tasks.
+	waits map[job.TaskName]string
+}
+
+// worker is a worker as the control goroutine knows it.
+type worker struct {
+	name string
+	// life is nil until the agent has reported one.
+	life *assignment.Life
+	// heard is when the newest poll was taken.
+	heard time.Time
+	// leaves is the earliest time at which a leaving worker goes.
+	leaves time.Time
+	// runs are those that the worker has reported, ends the number up to which its ends are taken note of.
+	runs map[assignment.RunID]observed
+	ends int64
+	// silent says that its agent gets no answer from it.
+	silent bool
+	health health
+}
+
+func newTracked(j *job.Job) *tracked {
+	return &tracked{
+		job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}, took: map[int]time.Duration{},
+		failedOn: map[string]time.Time{}, preemptedFor: map[job.TaskName]time.Time{}, waits: map[job.TaskName]string{},
+	}
+}
+
+// length predicts how long a task of a step works.
+func (c *Controller) length(t *tracked, step int) time.Duration {
+	if !c.has(Forecasts) {
+		return t.job.Steps[step].Estimate
+	}
+	if took, ok := t.took[step]; ok {
+		return took
+	}
+	return c.forecast.of(t.job.Queue, t.job.Steps[step].Estimate)
+}
+
+// work is what all tasks of a job do, in core-seconds.
+func (c *Controller) work(t *tracked) float64 {
+	sum := 0.0
+	for i, s := range t.job.Steps {
+		sum += float64(s.Tasks) * c.length(t, i).Seconds() * weight(s.Need)
+	}
+	return sum
+}
+
+// noteLength takes note of how long a run took that has ended done, unless it went on from a checkpoint.
+func (c *Controller) noteLength(e assignment.End) {
+	t := c.jobs[e.Task.Job]
+	if t == nil || e.How != job.EndDone || e.Took() <= 0 {
+		return
+	}
+	task := t.progress.Task(e.Task)
+	if _, known := t.took[e.Task.Step]; known || task == nil || task.Run != e.Run || task.Saved != "" {
+		return
+	}
+	t.took[e.Task.Step] = e.Took()
+	c.forecast.note(t.job.Queue, t.job.Steps[e.Task.Step].Estimate, e.Took())
+}
+
+// observed is what is known of a run that a worker has reported.
+type observed struct {
+	percent int
+	// since is when the run began, as far as is known; advanced when the percentage last rose.
+	since    time.Time
+	advanced time.Time
+	// base is the percentage that was first reported, at the time baseAt: a run may go on from a checkpoint.
+	base   int
+	baseAt time.Time
+}
+
+// firstSeen is the first report of a run.
+func firstSeen(now time.Time, r assignment.Run) observed {
+	o := observed{percent: -1, since: now, advanced: now, base: max(r.Percent, 0), baseAt: now}
+	if r.AgeMillis > 0 {
+		o.since = now.Add(-r.Age())
+	}
+	return o
+}
+
+// left is how long the run still works if it goes on as it has since the first report; false as long as that says nothing.
+func (o observed) left(now time.Time) (time.Duration, bool) {
+	done := o.percent - o.base
+	if done <= 0 {
+		return 0, false
+	}
+	left := o.advanced.Sub(o.baseAt) * time.Duration(100-o.percent) / time.Duration(done)
+	return max(left-now.Sub(o.advanced), 0), true
+}
