What is thrown away is counted by cause, and a report of it from logs

Change: each end is logged with its cause, the time that the run took and the core-seconds lost; a gang counts under what ended its first member; a counter by cause; 'yarrowgrade losses' adds up logs: by cause, by urgent job (in time or late), by task stopped again.

--- /dev/null
+++ b/cmd/yarrowgrade/losses_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestLosses: what was thrown away counts under its cause and for the job that it was for, and lines of other programs are passed
+// over.
+func TestLosses(t *testing.T) {
+	const log = `built in 0.1 s
+  1.0 entry-1 time=2026-05-04T10:00:00Z level=info event="run is placed" task=aa.0.0.0 run=1 priority=1 worker=w1
+time=2026-05-04T10:00:01Z level=info event="run is placed" task=ab.0.0.0 run=1 priority=1 worker=w2
+time=2026-05-04T10:00:02Z level=info event="run is to stop" task=aa.0.0.0 run=1 why="it yields to cc.0.0.0"
+time=2026-05-04T10:00:02.3Z level=info event="run ended" task=aa.0.0.0 run=1 how=stopped step=runner.list
+time=2026-05-04T10:00:02.3Z level=info event="run ended" task=aa.0.0.0 run=1 how=stopped cause=yielded lost_core_s=120.5 step=dispatch.end
+time=2026-05-04T10:00:02.4Z level=info event="run is placed" task=cc.0.0.0 run=1 priority=0 worker=w1
+time=2026-05-04T10:00:02.5Z level=info event="run is placed" task=dd.0.0.0 run=1 priority=0 worker=w3
+time=2026-05-04T10:00:03Z level=info event="run ended" task=ab.0.0.0 run=1 how=lost cause=worker_lost lost_core_s=30
+time=2026-05-04T10:00:05Z level=info event="run ended" task=cc.0.0.0 run=1 how=done cause=none lost_core_s=0
+time=2026-05-04T10:00:05Z level=info event="job ended" job=cc phase=completed due=2026-05-04T10:00:04Z
+time=2026-05-04T10:00:05Z level=info event="job ended" job=dd phase=completed due=2026-05-04T10:00:06Z
+`
+	a := newLossAccount()
+	if err := a.read(strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	r := a.report()
+	if r.Starts != 4 || *r.Causes["yielded"] != (causeTotal{Runs: 1, Lost: 120.5}) || *r.Causes["worker_lost"] != (causeTotal{Runs: 1, Lost: 30}) {
+		t.Errorf("%d starts, lost: %+v, %+v", r.Starts, r.Causes["yielded"], r.Causes["worker_lost"])
+	}
+	found, stopping := r.Urgent[0], r.Urgent[1]
+	if found != (urgentTotal{Jobs: 1, InTime: 1}) {
+		t.Errorf("of those that found room: %+v", found)
+	}
+	if stopping != (urgentTotal{Stopping: true, Jobs: 1, Late: 1, Victims: 1, Lost: 120.5, LostInVain: 120.5}) {
+		t.Errorf("of those for which work stopped: %+v", stopping)
+	}
+	if r.Stopped[1] != 1 {
+		t.Errorf("told to stop: %v", r.Stopped)
+	}
+	if err := newLossAccount().read(strings.NewReader("time=2026-05-04T10:00:00Z event=\"run ended\" run=one\n")); err == nil || !strings.Contains(err.Error(), "run") {
+		t.Errorf("a run that is no number: %v, want an error that names the field", err)
+	}
+}
--- a/cmd/yarrowgrade/main.go
+++ b/cmd/yarrowgrade/main.go
@@ -57,6 +57,7 @@
 	Explain explainCommand  `cmd:"" help:"Say why a session waits."`
 	Job     jobCommands     `cmd:"" help:"List and show jobs on the users' platform."`
 	Trace   traceCommand    `cmd:"" help:"Put the log lines of one id from several processes into one order."`
+	Losses  lossesCommand   `cmd:"" help:"Add up from logs the work that was thrown away, why, and for whom."`
 }
 
 // session is what a command works with.
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -123,7 +123,7 @@
 // finish ends all that is placed of a job.
 func (b *fixture) finish(t *tracked, how job.Ending) {
 	t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
-		b.control.endTask(t, name, task.Run, task.Life, how, "")
+		b.control.endTask(t, task.Life, assignment.End{RunID: assignment.RunID{Task: name, Run: task.Run}, How: how})
 	})
 }
 
--- /dev/null
+++ b/dispatch/losses.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// lossCause is why the work of a run was thrown away.
+type lossCause string
+
+// The causes. A gang that breaks counts under the cause of the member that ended first.
+const (
+	lossNone    lossCause = "none"
+	lossYielded lossCause = "yielded"
+	lossStalled lossCause = "stalled"
+	lossMoved   lossCause = "worker_leaves"
+	lossFailed  lossCause = "failed"
+	lossWorker  lossCause = "worker_lost"
+	lossLapsed  lossCause = "lease_lapsed"
+	lossAlone   lossCause = "gang_incomplete"
+	lossBroken  lossCause = "gang_broken"
+	lossCancel  lossCause = "cancelled"
+)
+
+func lossCauses() []lossCause {
+	return []lossCause{lossYielded, lossStalled, lossMoved, lossFailed, lossWorker, lossLapsed, lossAlone, lossBroken, lossCancel}
+}
+
+// stopCause is the cause under which a stop's losses count.
+func stopCause(why string) lossCause {
+	switch stopLabel(why) {
+	case stopYields:
+		return lossYielded
+	case stopStall:
+		return lossStalled
+	}
+	return lossMoved
+}
+
+// causeOf is why a run ended as it did, without regard to its gang.
+func (t *tracked) causeOf(e assignment.End) lossCause {
+	switch {
+	case e.How == job.EndDone || e.How == job.EndRefused:
+		return lossNone
+	case t.progress.Phase == job.Cancelled:
+		return lossCancel
+	case e.How == job.EndFailed:
+		return lossFailed
+	case e.How == job.EndLost:
+		return lossWorker
+	case e.How == job.EndLapsed:
+		return lossLapsed
+	case e.How == job.EndAlone:
+		return lossAlone
+	}
+	if cause, ok := t.causes[e.Task]; ok {
+		return cause
+	}
+	return lossBroken
+}
+
+// account says why a run ended, and how much of its work was thrown away, in core-seconds (an accelerator counts as eight
+// cores). Work that is saved counts as kept, though the last half second of it may not be.
+func (t *tracked) account(e assignment.End) (lossCause, float64) {
+	cause := t.causeOf(e)
+	step := t.job.Steps[e.Task.Step]
+	delete(t.causes, e.Task)
+	if cause == lossNone {
+		return cause, 0
+	}
+	if step.Gang {
+		// The first member that ends says why the others break.
+		first := firstOf(e.Task)
+		if b, ok := t.broken[first]; ok && b.run == e.Run {
+			cause = b.cause
+		} else {
+			t.broken[first] = brokenGang{run: e.Run, cause: cause}
+		}
+	}
+	if step.Checkpoint || step.Lasts {
+		return cause, 0
+	}
+	return cause, e.Took().Seconds() * weight(step.Need)
+}
+
+// brokenGang says why a run of a gang broke.
+type brokenGang struct {
+	run   int
+	cause lossCause
+}
--- /dev/null
+++ b/dispatch/losses_test.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// TestLosses: the work of a run that ends without being saved counts under what began it: a gang breaks for whatever ended its
+// first member, and what is saved or done is not lost.
+func TestLosses(t *testing.T) {
+	const took = 2 * time.Second
+	// A task of the fixture has 8 cores and 8 accelerators, which count as 8 cores each.
+	const each = 2 * (8 + 8*8)
+	end := func(j *tracked, index int, how job.Ending) (lossCause, float64) {
+		id := assignment.RunID{Task: job.TaskName{Job: j.job.ID, Index: index}, Run: 1}
+		return j.account(assignment.End{RunID: id, How: how, TookMillis: took.Milliseconds()})
+	}
+	tests := []struct {
+		name  string
+		step  job.Step
+		stop  string
+		how   job.Ending
+		cause lossCause
+		lost  float64
+	}{
+		{"done", job.Step{Tasks: 1}, "", job.EndDone, lossNone, 0},
+		{"refused", job.Step{Tasks: 1}, "", job.EndRefused, lossNone, 0},
+		{"yields", job.Step{Tasks: 1}, whyYields + "x", job.EndStopped, lossYielded, each},
+		{"yields, saved", job.Step{Tasks: 1, Checkpoint: true}, whyYields + "x", job.EndStopped, lossYielded, 0},
+		{"moved", job.Step{Tasks: 1}, "its worker leaves", job.EndStopped, lossMoved, each},
+		{"worker lost", job.Step{Tasks: 1}, "", job.EndLost, lossWorker, each},
+		{"failed", job.Step{Tasks: 1}, "", job.EndFailed, lossFailed, each},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 1, 1)
+			j := b.job(1, "other", test.step)
+			if test.stop != "" {
+				j.causes[job.TaskName{Job: j.job.ID}] = stopCause(test.stop)
+			}
+			if cause, lost := end(j, 0, test.how); cause != test.cause || lost != test.lost {
+				t.Errorf("cause %s, lost %g, want %s and %g", cause, lost, test.cause, test.lost)
+			}
+		})
+	}
+	t.Run("a gang breaks", func(t *testing.T) {
+		b := newFixture(t, 1, 1)
+		j := b.job(1, "other", job.Step{Tasks: 2, Gang: true})
+		if cause, _ := end(j, 1, job.EndLost); cause != lossWorker {
+			t.Errorf("the first member ended: %s", cause)
+		}
+		if cause, lost := end(j, 0, job.EndBroken); cause != lossWorker || lost != each {
+			t.Errorf("the other one broke: %s, %g, want %s and %d", cause, lost, lossWorker, each)
+		}
+	})
+}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -14,6 +14,8 @@
 	ends   telemetry.Counters[job.Ending]
 	stops  telemetry.Counters[string]
 	losses telemetry.Counters[string]
+	// lostWork counts core-seconds of work that was thrown away.
+	lostWork telemetry.Counters[lossCause]
 
 	scope   tally.Scope
 	workers tally.Gauge
@@ -40,9 +42,10 @@
 	m := &Metrics{
 		ends: telemetry.NewCounters(scope, "runs_ended", "how", job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken,
 			job.EndAlone, job.EndLost, job.EndRefused),
-		stops:  telemetry.NewCounters(scope, "runs_stopped", "why", stopYields, stopStall, stopLeaves),
-		losses: telemetry.NewCounters(scope, "runs_lost", "why", lossLease, lossLife),
-		scope:  scope, workers: scope.Gauge("workers"), free: scope.Gauge("accelerators_free"),
+		stops:    telemetry.NewCounters(scope, "runs_stopped", "why", stopYields, stopStall, stopLeaves),
+		losses:   telemetry.NewCounters(scope, "runs_lost", "why", lossLease, lossLife),
+		lostWork: telemetry.NewCounters(scope, "work_lost_core_s", "cause", lossCauses()...),
+		scope:    scope, workers: scope.Gauge("workers"), free: scope.Gauge("accelerators_free"),
 		waiting: map[string]tally.Gauge{}, held: map[string]tally.Gauge{},
 	}
 	// Jobs of open queues have no team.
@@ -57,18 +60,20 @@
 	heldName    = "accelerators_held"
 )
 
-// stopped counts a run that is told to stop.
-func (m *Metrics) stopped(why string) {
+// stopLabel is the label under which a stop counts.
+func stopLabel(why string) string {
 	switch {
 	case strings.HasPrefix(why, whyYields):
-		m.stops.Inc(stopYields)
+		return stopYields
 	case why == whyStalled:
-		m.stops.Inc(stopStall)
-	default:
-		m.stops.Inc(stopLeaves)
+		return stopStall
 	}
+	return stopLeaves
 }
 
+// stopped counts a run that is told to stop.
+func (m *Metrics) stopped(why string) { m.stops.Inc(stopLabel(why)) }
+
 // lost counts a run that is lost.
 func (m *Metrics) lost(why string) {
 	if why == whyLeaseOver {
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -205,7 +205,7 @@
 					_, told := t.stopping[name]
 					if told || rapid.IntRange(0, 3).Draw(rt, "ends") == 0 {
 						how := rapid.SampledFrom([]job.Ending{job.EndDone, job.EndStopped, job.EndFailed, job.EndLost}).Draw(rt, "how")
-						b.control.endTask(t, name, task.Run, task.Life, how, "")
+						b.control.endTask(t, task.Life, assignment.End{RunID: assignment.RunID{Task: name, Run: task.Run}, How: how})
 					}
 				})
 			}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -110,6 +110,7 @@
 	r.stopping = true
 	p.c.metrics.stopped(why)
 	r.tracked.stopping[r.name] = r.run
+	r.tracked.causes[r.name] = stopCause(why)
 	r.node.later = r.node.later.Plus(r.need, 1)
 	p.c.logger.Info().Str("step", "dispatch.stop").Stringer("task", r.name).Int("run", r.run).Str("worker", r.node.name).
 		Float64("lost_work_core_s", r.lostWork).Str("why", why).Msg("run is to stop")
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -66,7 +66,7 @@
 	for _, t := range c.jobs {
 		t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
 			if task.Worker == w.name && task.Life != life.ID {
-				c.endTask(t, name, task.Run, task.Life, job.EndLost, "")
+				c.loseRun(t, name, task, whyLifeOver)
 			}
 		})
 	}
@@ -92,7 +92,7 @@
 // end takes note of the end of a run on the worker's present life. It returns false if that run is not there.
 func (c *Controller) end(w *worker, e assignment.End) bool {
 	t := c.jobs[e.Task.Job]
-	if t == nil || !c.endTask(t, e.Task, e.Run, w.life.ID, e.How, e.Saved) {
+	if t == nil || !c.endTask(t, w.life.ID, e) {
 		return false
 	}
 	now := time.Now()
@@ -105,21 +105,33 @@
 	return true
 }
 
-func (c *Controller) endTask(t *tracked, name job.TaskName, run int, life string, how job.Ending, saved string) bool {
+// endTask takes note of the end of a run on a life of a worker. It returns false if that run is not there.
+func (c *Controller) endTask(t *tracked, life string, e assignment.End) bool {
 	before := t.progress.Phase
-	if !t.progress.End(t.job, name, run, life, how, saved) {
+	if !t.progress.End(t.job, e.Task, e.Run, life, e.How, e.Saved) {
 		return false
 	}
 	t.dirty = true
-	c.metrics.ends.Inc(how)
-	delete(t.stopping, name)
-	c.logger.Info().Str("step", "dispatch.end").Stringer("task", name).Int("run", run).Str("how", string(how)).Msg("run ended")
+	c.metrics.ends.Inc(e.How)
+	cause, lost := t.account(e)
+	if lost > 0 {
+		c.metrics.lostWork.Add(cause, int(lost))
+	}
+	c.logger.Info().Str("step", "dispatch.end").Stringer("task", e.Task).Int("run", e.Run).Str("how", string(e.How)).
+		Int64("took_ms", e.TookMillis).Str("cause", string(cause)).Float64("lost_core_s", lost).Msg("run ended")
+	delete(t.stopping, e.Task)
 	if t.progress.Phase != before && t.progress.Phase.Final() {
-		c.logger.Info().Str("step", "dispatch.end").Str("job", string(name.Job)).Stringer("phase", t.progress.Phase).Msg("job ended")
+		c.logger.Info().Str("step", "dispatch.end").Str("job", string(e.Task.Job)).Stringer("phase", t.progress.Phase).
+			Time("due", c.dueAt(t)).Msg("job ended")
 	}
 	return true
 }
 
+// dueAt is when the last round of a job is to be completed.
+func (c *Controller) dueAt(t *tracked) time.Time {
+	return t.job.Objective(t.job.Rounds()-1, t.job.Chain(func(step int) time.Duration { return c.length(t, step) }))
+}
+
 // lose ends all that is placed on a life of a worker.
 func (c *Controller) lose(name, life, why string) {
 	for _, t := range c.jobs {
@@ -135,7 +147,13 @@
 	c.metrics.lost(why)
 	c.logger.Info().Str("step", "dispatch.lose").Stringer("task", name).Int("run", placed.Run).
 		Str("worker", placed.Worker).Str("why", why).Msg("run is lost")
-	c.endTask(t, name, placed.Run, placed.Life, job.EndLost, "")
+	e := assignment.End{RunID: assignment.RunID{Task: name, Run: placed.Run}, How: job.EndLost}
+	if w := c.workers[placed.Worker]; w != nil {
+		if o, known := w.runs[e.RunID]; known {
+			e.TookMillis = time.Since(o.since).Milliseconds()
+		}
+	}
+	c.endTask(t, placed.Life, e)
 }
 
 // Placed are the workers on which something is placed.
