--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -64,11 +65,13 @@
 type plan struct {
 	c *Controller
 	// ctx ends with the term; questions to the adviser live in it.
-	ctx        context.Context
-	now        time.Time
-	nodes      []*node
-	racks      map[string][]*node
-	byName     map[string]*node
+	ctx    context.Context
+	now    time.Time
+	nodes  []*node
+	racks  map[string][]*node
+	byName map[string]*node
+	// rackPlace is the place of each rack in the order of their names.
+	rackPlace  map[string]int
 	guaranteed map[job.ID]bool
 	held       int
 	// noRoom holds the searches that found nothing. Room only gets less during a decision, so they would find nothing again.
@@ -115,6 +118,10 @@
 	for _, rack := range p.racks {
 		slices.SortFunc(rack, func(a, b *node) int { return cmp.Compare(a.name, b.name) })
 	}
+	p.rackPlace = make(map[string]int, len(p.racks))
+	for i, rack := range slices.Sorted(maps.Keys(p.racks)) {
+		p.rackPlace[rack] = i
+	}
 }
 
 // addRuns takes what runs off the workers' room.
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -44,6 +44,8 @@
 	Evacuation Mechanism = "evacuation"
 	// FullestFirst: the fullest rack and worker are filled first. Without: in the order of names.
 	FullestFirst Mechanism = "fullest-first"
+	// SavesApart: what saves its work and what does not fill the racks from either end. Without: all of it shares racks.
+	SavesApart Mechanism = "saves-apart"
 	// Headroom: what can wait leaves room free for urgent jobs like those seen lately. Without: it takes whatever fits.
 	Headroom Mechanism = "headroom"
 	// DataPatience: a task waits for room near its data for a while. Without: it goes elsewhere at once.
@@ -54,7 +56,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Guarantees, InTimeFirst, SmallFirst, ExpiredLast, Reservations, Preemption, PreemptionBudget, RepeatCost, WaitForRoom, KeepFreed,
-		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, Headroom, DataPatience,
+		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, SavesApart, Headroom, DataPatience,
 	}
 }
 
--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -218,6 +218,34 @@
 			t.Errorf("its %v has become 2.2 s more, after which %v is late: it was not told to stop", ending.job.ID, urgent.job.ID)
 		}
 	})
+	t.Run("what saves its work stands apart, and yields", func(t *testing.T) {
+		b := newFixture(t, 4, 2)
+		small := job.Need{CPU: 1000, Memory: 1000, Accelerators: 4}
+		var loses, saves []*tracked
+		for range 8 {
+			loses = append(loses, b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second}))
+			saves = append(saves, b.job(2, "other", job.Step{Tasks: 1, Need: small, Estimate: 20 * time.Second, Checkpoint: true}))
+			b.plan(0)
+		}
+		b.job(0, "sure", job.Step{Tasks: 2, Gang: true, SameRack: true, Estimate: time.Second})
+		began := b.now
+		b.now = b.now.Add(time.Second)
+		for i := range loses {
+			b.observe(loses[i], began, 5)
+			b.observe(saves[i], began, 5)
+		}
+		b.plan(patienceOfOwners + 50*time.Millisecond)
+		stopped := 0
+		for i := range loses {
+			stopped += len(saves[i].stopping)
+			if len(loses[i].stopping) != 0 {
+				t.Errorf("what can't save its work was told to stop on %v", b.at(loses[i]))
+			}
+		}
+		if stopped != 4 {
+			t.Errorf("%d runs that save their work were told to stop, want the 4 of a rack", stopped)
+		}
+	})
 	t.Run("what lasts does not yield", func(t *testing.T) {
 		b := newFixture(t, 1, 1)
 		lasts := b.job(2, "other", job.Step{Tasks: 1, Lasts: true, Bounded: true})
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -19,6 +19,7 @@
 	gang, sameRack           bool
 	leavesHeadroom           bool
 	length                   time.Duration
+	urgent, saves            bool
 	// job is set where the outcome depends on what else of the job runs, or on what was said of it.
 	job job.ID
 }
@@ -29,6 +30,7 @@
 		service: w.tracked.job.Service, label: w.step.Label, dataRack: w.step.DataRack, need: w.step.Reserved(),
 		tasks: len(w.unit.Tasks), gang: w.step.Gang, sameRack: w.step.SameRack,
 		length: w.length, leavesHeadroom: w.leavesHeadroom,
+		urgent: w.tracked.job.Priority == 0, saves: w.step.Checkpoint,
 	}
 	if w.step.PerWorker > 0 || w.tracked.job.Advised || w.step.DataRack != "" || len(w.tracked.failedOn) > 0 || w.step.Fills || w.step.Target > 0 {
 		s.job = w.tracked.job.ID
@@ -59,11 +61,29 @@
 		return [][]*node{p.nodes}
 	}
 	slices.SortFunc(racks, func(a, b []*node) int {
-		return cmp.Or(cmp.Compare(freeAccelerators(a), freeAccelerators(b)), cmp.Compare(a[0].name, b[0].name))
+		return cmp.Or(
+			p.compareEnds(w, a[0].life.Rack, b[0].life.Rack),
+			cmp.Compare(freeAccelerators(a), freeAccelerators(b)),
+			cmp.Compare(a[0].name, b[0].name),
+		)
 	})
 	return racks
 }
 
+// compareEnds orders two racks for a unit that may have to yield: what can't save its work fills the racks from the first on, what can
+// from the last on. Urgent jobs that need a rack then find some in which stopping all loses next to nothing. Urgent units themselves have
+// no end: they take what is left in the fullest racks.
+func (p *plan) compareEnds(w waiting, a, b string) int {
+	if w.tracked.job.Priority == 0 || !p.c.has(SavesApart) {
+		return 0
+	}
+	order := cmp.Compare(p.rackPlace[a], p.rackPlace[b])
+	if w.step.Checkpoint {
+		return -order
+	}
+	return order
+}
+
 func freeAccelerators(nodes []*node) int {
 	sum := 0
 	for _, n := range nodes {
@@ -170,6 +190,7 @@
 			compareBool(avoid[a.name], avoid[b.name]),
 			compareBool(disturbs(w.step, a), disturbs(w.step, b)),
 			cmp.Compare(serving[a], serving[b]),
+			p.compareEnds(w, a.life.Rack, b.life.Rack),
 			p.compareIf(FullestFirst, cmp.Or(
 				cmp.Compare(free[a.life.Rack], free[b.life.Rack]),
 				cmp.Compare(room(a).Accelerators, room(b).Accelerators),
