A late heartbeat of a crashed life changes nothing, and silent connections are left behind

Cause: an agent that began after a worker's former life took a heartbeat of that life, held up on its way, for a newer one: it gave up the life that runs and told the leader that it was over, and the true one's heartbeats were refused from then on.

Change: a heartbeat of another life makes the agent ask the worker as the life that it knows; what the worker answers decides, and without an answer nothing changes. After a call without an answer in time all idle connections are dropped, and the operating system's probes end a connection 4 s after its last packet.

--- a/cmd/yarrowgraded/serve.go
+++ b/cmd/yarrowgraded/serve.go
@@ -38,11 +38,32 @@
 
 // newClient returns the HTTP client for the system's own peers.
 func newClient(t *telemetry.Telemetry) *http.Client {
-	return &http.Client{Transport: t.Transport(&http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	return &http.Client{Transport: t.Transport(newTransport())}
+}
+
+// keepAlive is how a connection that has gone silent for good, without a reset, is noticed while nothing is expected on it soon, as in
+// a read that waits for news: by probes of the operating system, 4 s after its last packet.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
+
+// transport drops all idle connections once a call got no answer in time: where one connection has gone silent others may have, and the next
+// call is not to find out one by one.
+type transport struct{ *http.Transport }
+
+func newTransport() *transport {
+	return &transport{&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}).DialContext,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout / 2,
-	})}
+	}}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if errors.Is(err, context.DeadlineExceeded) {
+		t.CloseIdleConnections()
+	}
+	return response, err
 }
 
 func newServer(h http.Handler) *http.Server {
@@ -51,7 +72,8 @@
 
 // listen opens the listener of a role.
 func listen(name, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%s: can't listen on %s: %w", name, address, err)
 	}
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -183,7 +183,7 @@
 	go func(r *runner.Runner) {
 		for ctx.Err() == nil {
 			if life, ok := s.worker[i].Beat(); ok {
-				r.Heartbeat(life)
+				r.Heartbeat(ctx, life)
 			}
 			time.Sleep(time.Second)
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -161,17 +162,19 @@
 	r.work.Wait()
 }
 
-// Heartbeat takes over what the worker says of itself. It returns false for a life that is over.
-func (r *Runner) Heartbeat(l assignment.Life) bool {
+// Heartbeat takes over what the worker says of itself. It returns false for a life that is over, or that may be.
+func (r *Runner) Heartbeat(ctx context.Context, l assignment.Life) bool {
+	current, contested := r.contested(l)
+	var err error
+	if contested {
+		err = r.probe(ctx, current)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.former[l.ID] {
+	if contested && !r.settleContest(current, l, err) || r.former[l.ID] {
 		return false
 	}
 	news := r.life == nil || r.life.ID != l.ID || r.life.Leaving != l.Leaving
-	if r.life != nil && r.life.ID != l.ID {
-		r.endLife("another life reports")
-	}
 	if r.life == nil {
 		r.parts.Logger.Info().Str("step", "runner.heartbeat").Str("life", l.ID).Msg("worker reports")
 	} else if news {
@@ -188,6 +191,43 @@
 	return true
 }
 
+// contested reports whether a heartbeat is of another life than the present one. Such a heartbeat need not be newer: one that was held up
+// may come after the next life has registered, and this process may have begun in between and know nothing of the former one.
+func (r *Runner) contested(l assignment.Life) (current Order, contested bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life == nil || r.life.ID == l.ID || r.former[l.ID] {
+		return Order{}, false
+	}
+	current, _ = r.order()
+	return Order{Life: r.life.ID, Fence: current.Fence}, true
+}
+
+// probe asks the worker whether it is still in a life; nil says that it is.
+func (r *Runner) probe(ctx context.Context, current Order) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, _, err := r.parts.Worker.Hold(ctx, current, 0, 0, 0)
+	return err
+}
+
+// settleContest decides by the worker's answer which of two lives it is in, and reports whether that is the one of the heartbeat. Without
+// an answer nothing changes: the next heartbeat asks again. The lock must be held.
+func (r *Runner) settleContest(current Order, l assignment.Life, answer error) bool {
+	switch {
+	case errors.Is(answer, ErrOtherLife):
+		if r.life != nil && r.life.ID == current.Life {
+			r.endLife("another life reports")
+		}
+		return r.life == nil || r.life.ID == l.ID
+	case answer == nil, errors.Is(answer, ErrFenced), errors.Is(answer, ErrBusy):
+		// The worker answered as the life that is known: the heartbeat is of one that has crashed.
+		r.former[l.ID] = true
+		r.parts.Logger.Info().Str("step", "runner.heartbeat").Str("life", l.ID).Str("current", current.Life).Msg("late heartbeat of a former life")
+	}
+	return false
+}
+
 // Gone takes note of a worker that says it ends.
 func (r *Runner) Gone(life string) {
 	r.mu.Lock()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -95,7 +95,7 @@
 		go a.workers.Run(ctx)
 		go a.runner.Run(ctx)
 		life, _ := a.worker.Beat()
-		a.runner.Heartbeat(life)
+		a.runner.Heartbeat(t.Context(), life)
 		time.Sleep(time.Second)
 		f(t, a)
 		for _, b := range a.workers.Report() {
@@ -259,7 +259,7 @@
 		go workers.Run(ctx)
 		go r.Run(ctx)
 		life, _ := worker.Beat()
-		r.Heartbeat(life)
+		r.Heartbeat(t.Context(), life)
 		time.Sleep(5 * time.Second)
 		ended := false
 		for _, p := range o.polls {
@@ -303,7 +303,7 @@
 		a.worker.Crash(time.Millisecond)
 		time.Sleep(50 * time.Millisecond)
 		life, _ := a.worker.Beat()
-		if !a.runner.Heartbeat(life) || a.runner.Heartbeat(old) {
+		if !a.runner.Heartbeat(t.Context(), life) || a.runner.Heartbeat(t.Context(), old) {
 			t.Error("the new life must be taken and the old one not")
 		}
 		time.Sleep(time.Second)
@@ -313,6 +313,29 @@
 	})
 }
 
+// TestLateHeartbeat: a heartbeat that was held up and is of a life that has crashed changes nothing, also for an agent that began after
+// that life and has not heard of it.
+func TestLateHeartbeat(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.workers.SetWork(time.Minute)
+		a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+		time.Sleep(500 * time.Millisecond)
+		life, _ := a.worker.Beat()
+		late := life
+		late.ID = "a life that the agent never knew"
+		if a.runner.Heartbeat(t.Context(), late) {
+			t.Error("the late heartbeat was taken")
+		}
+		time.Sleep(time.Second)
+		if p := a.leader.last(); p.Life == nil || p.Life.ID != life.ID || len(p.Runs) != 1 || len(p.Over) != 0 {
+			t.Errorf("after it the agent says %+v", p)
+		}
+		if !a.runner.Heartbeat(t.Context(), life) {
+			t.Error("the next heartbeat of the present life was not taken")
+		}
+	})
+}
+
 // TestPace: what fills beside a task that serves is slowed down until that is within its target, and works at full pace
 // again once it is alone.
 func TestPace(t *testing.T) {
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -12,7 +12,7 @@
 //
 //	r := runner.New(settings, parts)
 //	go r.Run(ctx)
-//	r.Heartbeat(life)          // from the worker, about every second
+//	r.Heartbeat(ctx, life)          // from the worker, about every second
 package runner
 
 import (
