Room is looked for without maps and whole sorts

Cause: each search sorted all nodes that fit, with look-ups by rack and name in each comparison, and summed the free room of all racks anew.

Change: nodes know their rack and place, racks what is free in them; a search first counts whether the unit fits, sorts only then, and takes the one best node for a single task.

TestDecisionsAreSound caught a slip of this change (a node with room, but over the step's bound for a worker) before it went in.

Conclusion: the decision is the same; kept for being simpler.

--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -113,16 +113,16 @@
 // roomyRacks returns the usable workers of a service by racks, those with the most free accelerators first, and how many accelerators
 // the service has in all.
 func (p *plan) roomyRacks(service string) (racks [][]*node, total int) {
-	free := map[string]int{}
-	for _, nodes := range p.racks {
+	free := map[*rack]int{}
+	for _, r := range p.racks {
 		var usable []*node
-		for _, n := range nodes {
+		for _, n := range r.nodes {
 			if n.life.Service != service {
 				continue
 			}
 			total += n.life.Room.Accelerators
 			if n.usable {
-				free[n.life.Rack] += max(n.later.Accelerators, 0)
+				free[r] += max(n.later.Accelerators, 0)
 				usable = append(usable, n)
 			}
 		}
@@ -131,8 +131,8 @@
 		}
 	}
 	slices.SortFunc(racks, func(a, b []*node) int {
-		x, y := a[0].life.Rack, b[0].life.Rack
-		return cmp.Or(-cmp.Compare(free[x], free[y]), cmp.Compare(x, y))
+		x, y := a[0].rack, b[0].rack
+		return cmp.Or(-cmp.Compare(free[x], free[y]), cmp.Compare(x.place, y.place))
 	})
 	return racks, total
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -13,10 +13,21 @@
 // reservations is how many waiting gangs have room held back for them at once.
 const reservations = 2
 
+// rack is the workers of a rack as the plan sees them.
+type rack struct {
+	nodes []*node
+	// place is the rack's place in the order of names; free is how many accelerators are free there.
+	place int
+	free  int
+}
+
 // node is a worker as the plan sees it.
 type node struct {
 	*worker
-	free job.Need
+	rack *rack
+	// place is the node's place in the order of names.
+	place int
+	free  job.Need
 	// later is what is free once all that was told to stop has ended.
 	later job.Need
 	runs  []*running
@@ -25,6 +36,12 @@
 	usable    bool
 }
 
+// take takes the room of a need off the node.
+func (n *node) take(need job.Need) {
+	n.free = n.free.Plus(need, -1)
+	n.rack.free -= need.Accelerators
+}
+
 // running is a run that takes room.
 type running struct {
 	tracked  *tracked
@@ -65,13 +82,11 @@
 type plan struct {
 	c *Controller
 	// ctx ends with the term; questions to the adviser live in it.
-	ctx    context.Context
-	now    time.Time
-	nodes  []*node
-	racks  map[string][]*node
-	byName map[string]*node
-	// rackPlace is the place of each rack in the order of their names.
-	rackPlace  map[string]int
+	ctx        context.Context
+	now        time.Time
+	nodes      []*node
+	racks      map[string]*rack
+	byName     map[string]*node
 	guaranteed map[job.ID]bool
 	held       int
 	// noRoom holds the searches that found nothing. Room only gets less during a decision, so they would find nothing again.
@@ -85,7 +100,7 @@
 // Plan decides what to start and what to stop, and notes it in the jobs' progress. Questions to the adviser end with ctx.
 func (c *Controller) Plan(ctx context.Context, now time.Time) {
 	c.next = now.Add(c.settings.Every)
-	p := &plan{c: c, ctx: ctx, now: now, racks: map[string][]*node{}, byName: map[string]*node{}, noRoom: map[search]bool{}, gangs: map[job.TaskName][]*running{}}
+	p := &plan{c: c, ctx: ctx, now: now, racks: map[string]*rack{}, byName: map[string]*node{}, noRoom: map[search]bool{}, gangs: map[job.TaskName][]*running{}}
 	p.addNodes()
 	p.addRuns()
 	p.guaranteed = p.guaranteedJobs()
@@ -112,16 +127,27 @@
 		n.usable = !silent && !w.life.Leaving && !w.health.quarantined(p.now)
 		p.nodes = append(p.nodes, n)
 		p.byName[w.name] = n
-		p.racks[w.life.Rack] = append(p.racks[w.life.Rack], n)
 	}
 	slices.SortFunc(p.nodes, func(a, b *node) int { return cmp.Compare(a.name, b.name) })
-	for _, rack := range p.racks {
-		slices.SortFunc(rack, func(a, b *node) int { return cmp.Compare(a.name, b.name) })
+	for i, n := range p.nodes {
+		n.place = i
+		p.addToRack(n)
 	}
-	p.rackPlace = make(map[string]int, len(p.racks))
-	for i, rack := range slices.Sorted(maps.Keys(p.racks)) {
-		p.rackPlace[rack] = i
+	for i, name := range slices.Sorted(maps.Keys(p.racks)) {
+		p.racks[name].place = i
+	}
+}
+
+// addToRack lists a node with its rack.
+func (p *plan) addToRack(n *node) {
+	r := p.racks[n.life.Rack]
+	if r == nil {
+		r = &rack{}
+		p.racks[n.life.Rack] = r
 	}
+	n.rack = r
+	r.nodes = append(r.nodes, n)
+	r.free += n.free.Accelerators
 }
 
 // addRuns takes what runs off the workers' room.
@@ -137,7 +163,7 @@
 			r.stopping = task.Done || t.stopping[name] == task.Run || t.progress.Phase.Final()
 			p.estimate(r, step)
 			p.addRun(r)
-			n.free = n.free.Plus(r.need, -1)
+			n.take(r.need)
 			if !r.stopping {
 				n.later = n.later.Plus(r.need, -1)
 			}
@@ -401,7 +427,7 @@
 	for i, name := range w.unit.Tasks {
 		n := at[i]
 		w.tracked.progress.Assign(name, run, n.name, n.life.ID)
-		n.free = n.free.Plus(w.step.Reserved(), -1)
+		n.take(w.step.Reserved())
 		n.later = n.later.Plus(w.step.Reserved(), -1)
 		r := &running{tracked: w.tracked, name: name, run: run, node: n, need: w.step.Reserved(), ends: p.now.Add(w.length)}
 		p.addRun(r)
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -92,7 +92,7 @@
 // keep takes the unit's room off what others see, while what was told to stop still ends.
 func (p *plan) keep(w waiting, at []*node) {
 	for _, n := range at {
-		n.free = n.free.Plus(w.step.Reserved(), -1)
+		n.take(w.step.Reserved())
 		n.later = n.later.Plus(w.step.Reserved(), -1)
 	}
 }
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -41,7 +41,10 @@
 // domains are the sets of nodes within which a unit may be placed, the better ones first.
 func (p *plan) domains(w waiting) [][]*node {
 	if w.step.DataRack != "" {
-		near := p.racks[w.step.DataRack]
+		var near []*node
+		if r := p.racks[w.step.DataRack]; r != nil {
+			near = r.nodes
+		}
 		waited := p.now.Sub(w.tracked.job.Accepted)
 		if len(near) > 0 && (!w.step.Gang || p.canEverFit(w, near)) && p.c.has(DataPatience) && waited < time.Duration(dataPatience*float64(w.step.Estimate)) {
 			return [][]*node{near}
@@ -51,45 +54,36 @@
 	if !w.step.Gang || !w.step.SameRack {
 		return [][]*node{p.nodes}
 	}
-	var racks [][]*node
-	for _, rack := range p.racks {
-		if p.canEverFit(w, rack) {
-			racks = append(racks, rack)
+	var racks []*rack
+	for _, r := range p.racks {
+		if p.canEverFit(w, r.nodes) {
+			racks = append(racks, r)
 		}
 	}
 	if len(racks) == 0 {
 		return [][]*node{p.nodes}
 	}
-	slices.SortFunc(racks, func(a, b []*node) int {
-		return cmp.Or(
-			p.compareEnds(w, a[0].life.Rack, b[0].life.Rack),
-			cmp.Compare(freeAccelerators(a), freeAccelerators(b)),
-			cmp.Compare(a[0].name, b[0].name),
-		)
+	slices.SortFunc(racks, func(a, b *rack) int {
+		return cmp.Or(p.compareEnds(w, a, b), cmp.Compare(a.free, b.free), cmp.Compare(a.place, b.place))
 	})
-	return racks
+	domains := make([][]*node, len(racks))
+	for i, r := range racks {
+		domains[i] = r.nodes
+	}
+	return domains
 }
 
 // compareEnds orders two racks for a unit that may have to yield: what can't save its work fills the racks from the first on, what can
 // from the last on. Urgent jobs that need a rack then find some in which stopping all loses next to nothing. Urgent units themselves have
 // no end: they take what is left in the fullest racks.
-func (p *plan) compareEnds(w waiting, a, b string) int {
+func (p *plan) compareEnds(w waiting, a, b *rack) int {
 	if w.tracked.job.Priority == 0 || !p.c.has(SavesApart) {
 		return 0
 	}
-	order := cmp.Compare(p.rackPlace[a], p.rackPlace[b])
 	if w.step.Checkpoint {
-		return -order
-	}
-	return order
-}
-
-func freeAccelerators(nodes []*node) int {
-	sum := 0
-	for _, n := range nodes {
-		sum += n.free.Accelerators
+		return cmp.Compare(b.place, a.place)
 	}
-	return sum
+	return cmp.Compare(a.place, b.place)
 }
 
 // canEverFit reports whether the unit would fit into the nodes if they were empty.
@@ -175,43 +169,72 @@
 		}
 		return n.free
 	}
-	need := w.step.Reserved()
+	need, tasks := w.step.Reserved(), len(w.unit.Tasks)
 	var candidates []*node
+	fits := 0
 	for _, n := range domain {
-		if n.usable && need.Fits(room(n)) && allowed(w, n) && !(w.leavesHeadroom && p.headroom[n]) && p.mayUse(w, n) && p.hasTicket(w, n) && !p.failedThere(w, n) && p.mayShare(w, n) {
+		if !n.usable || !need.Fits(room(n)) || !p.mayPlace(w, n) {
+			continue
+		}
+		if here := countOn(w, n, room(n), tasks); here > 0 {
 			candidates = append(candidates, n)
+			fits += here
+		}
+	}
+	if fits < tasks {
+		return nil
+	}
+	better := p.preference(w, candidates, room)
+	if tasks == 1 {
+		return []*node{slices.MinFunc(candidates, better)}
+	}
+	slices.SortFunc(candidates, better)
+	at := make([]*node, 0, tasks)
+	for _, n := range candidates {
+		for range countOn(w, n, room(n), tasks-len(at)) {
+			at = append(at, n)
 		}
 	}
+	return at
+}
+
+// mayPlace reports whether the unit may be placed on the node, as far as anything but room goes.
+func (p *plan) mayPlace(w waiting, n *node) bool {
+	return allowed(w, n) && !(w.leavesHeadroom && p.headroom[n]) && p.mayUse(w, n) && p.hasTicket(w, n) &&
+		!p.failedThere(w, n) && p.mayShare(w, n)
+}
+
+// countOn is how many tasks of the unit fit into a node's room, most at the most.
+func countOn(w waiting, n *node, room job.Need, most int) int {
+	most = min(most, bound(w, n))
+	if n.health.onProbation() {
+		most = min(most, 1)
+	}
+	return count(w.step.Reserved(), room, most)
+}
+
+// preference orders nodes for a unit, the better ones first.
+func (p *plan) preference(w waiting, candidates []*node, room func(*node) job.Need) func(a, b *node) int {
 	avoid := p.avoided(w)
 	serving := servingOn(w, candidates)
-	free := p.freeByRack()
-	slices.SortStableFunc(candidates, func(a, b *node) int {
-		return cmp.Or(
+	fullestFirst := p.c.has(FullestFirst)
+	return func(a, b *node) int {
+		if order := cmp.Or(
 			compareBool(avoid[a.name], avoid[b.name]),
 			compareBool(disturbs(w.step, a), disturbs(w.step, b)),
 			cmp.Compare(serving[a], serving[b]),
-			p.compareEnds(w, a.life.Rack, b.life.Rack),
-			p.compareIf(FullestFirst, cmp.Or(
-				cmp.Compare(free[a.life.Rack], free[b.life.Rack]),
-				cmp.Compare(room(a).Accelerators, room(b).Accelerators),
-				cmp.Compare(room(a).CPU, room(b).CPU),
-			)),
-		)
-	})
-	var at []*node
-	for _, n := range candidates {
-		most := min(bound(w, n), len(w.unit.Tasks)-len(at))
-		if n.health.onProbation() {
-			most = min(most, 1)
+			p.compareEnds(w, a.rack, b.rack),
+		); order != 0 {
+			return order
 		}
-		for range count(need, room(n), most) {
-			at = append(at, n)
-		}
-		if len(at) == len(w.unit.Tasks) {
-			return at
+		if fullestFirst {
+			x, y := room(a), room(b)
+			if order := cmp.Or(cmp.Compare(a.rack.free, b.rack.free), cmp.Compare(x.Accelerators, y.Accelerators), cmp.Compare(x.CPU, y.CPU)); order != 0 {
+				return order
+			}
 		}
+		return cmp.Compare(a.place, b.place)
 	}
-	return nil
 }
 
 // servingOn counts the tasks with a target on each of the nodes, for a unit that has one too: their load disturbs the others,
@@ -231,16 +254,6 @@
 	return counts
 }
 
-// freeByRack is how many accelerators are free in each rack: what is placed in the fullest racks leaves whole racks for
-// gangs that need one.
-func (p *plan) freeByRack() map[string]int {
-	free := make(map[string]int, len(p.racks))
-	for rack, nodes := range p.racks {
-		free[rack] = freeAccelerators(nodes)
-	}
-	return free
-}
-
 // mayUse reports whether the unit may use a node that is held back for a gang: only if it ends in time.
 func (p *plan) mayUse(w waiting, n *node) bool {
 	return n.heldUntil.IsZero() || !p.now.Add(w.length).After(n.heldUntil)
