--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -44,6 +44,8 @@
 	Evacuation Mechanism = "evacuation"
 	// FullestFirst: the fullest rack and worker are filled first. Without: in the order of names.
 	FullestFirst Mechanism = "fullest-first"
+	// FewWorkers: the members of a gang share as few workers as they can. Without: they fill the fullest workers one by one.
+	FewWorkers Mechanism = "few-workers"
 	// SavesApart: what saves its work and what does not fill the racks from either end. Without: all of it shares racks.
 	SavesApart Mechanism = "saves-apart"
 	// Headroom: what can wait leaves room free for urgent jobs like those seen lately. Without: it takes whatever fits.
@@ -56,7 +58,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Guarantees, InTimeFirst, SmallFirst, ExpiredLast, Reservations, Preemption, PreemptionBudget, RepeatCost, WaitForRoom, KeepFreed,
-		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, SavesApart, Headroom, DataPatience,
+		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, FewWorkers, SavesApart, Headroom, DataPatience,
 	}
 }
 
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -171,20 +171,23 @@
 	}
 	need, tasks := w.step.Reserved(), len(w.unit.Tasks)
 	var candidates []*node
+	// here is how many tasks fit on a node.
+	here := map[*node]int{}
 	fits := 0
 	for _, n := range domain {
 		if !n.usable || !need.Fits(room(n)) || !p.mayPlace(w, n) {
 			continue
 		}
-		if here := countOn(w, n, room(n), tasks); here > 0 {
+		if k := countOn(w, n, room(n), tasks); k > 0 {
 			candidates = append(candidates, n)
-			fits += here
+			here[n] = k
+			fits += k
 		}
 	}
 	if fits < tasks {
 		return nil
 	}
-	better := p.preference(w, candidates, room)
+	better := p.preference(w, candidates, here, room)
 	if tasks == 1 {
 		return []*node{slices.MinFunc(candidates, better)}
 	}
@@ -213,11 +216,14 @@
 	return count(w.step.Reserved(), room, most)
 }
 
-// preference orders nodes for a unit, the better ones first.
-func (p *plan) preference(w waiting, candidates []*node, room func(*node) job.Need) func(a, b *node) int {
+// preference orders nodes for a unit, the better ones first. Here is how many of its tasks fit on each of them. A gang takes the workers
+// that hold the most of its members: each worker that leaves or fails breaks the gang, so it should be on few, and it frees whole workers
+// when it ends.
+func (p *plan) preference(w waiting, candidates []*node, here map[*node]int, room func(*node) job.Need) func(a, b *node) int {
 	avoid := p.avoided(w)
 	serving := servingOn(w, candidates)
 	fullestFirst := p.c.has(FullestFirst)
+	together := w.step.Gang && p.c.has(FewWorkers)
 	return func(a, b *node) int {
 		if order := cmp.Or(
 			compareBool(avoid[a.name], avoid[b.name]),
@@ -227,6 +233,9 @@
 		); order != 0 {
 			return order
 		}
+		if together && here[a] != here[b] {
+			return cmp.Compare(here[b], here[a])
+		}
 		if fullestFirst {
 			x, y := room(a), room(b)
 			if order := cmp.Or(cmp.Compare(a.rack.free, b.rack.free), cmp.Compare(x.Accelerators, y.Accelerators), cmp.Compare(x.CPU, y.CPU)); order != 0 {
