--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -228,6 +228,10 @@
 	if p.c.has(RepeatCost) {
 		lost += time.Duration(repeatCost * float64(r.run-1) * float64(length))
 	}
+	// An urgent job that stops is late: only what is guaranteed takes room from such, and the last of all.
+	if r.tracked.job.Priority == 0 {
+		lost += time.Duration(worthInTime * float64(length))
+	}
 	r.cost = lost.Seconds() * weight(step.Need)
 }
 
--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -158,6 +158,22 @@
 			t.Errorf("%d of the borrower's tasks were told to stop, want 1", len(borrower.stopping))
 		}
 	})
+	t.Run("a guarantee takes the room of an urgent job last", func(t *testing.T) {
+		b := newFixture(t, 1, 2)
+		urgent := b.job(0, "other", job.Step{Tasks: 1, Estimate: 5 * time.Second})
+		other := b.job(2, "other", job.Step{Tasks: 1, Estimate: 20 * time.Second})
+		b.plan(0)
+		began := b.now
+		b.now = b.now.Add(4 * time.Second)
+		b.observe(other, began, 20)
+		b.plan(0)
+		b.observe(urgent, b.now.Add(-500*time.Millisecond), 10)
+		b.job(0, "sure", job.Step{Tasks: 1})
+		b.plan(patienceOfOwners + 50*time.Millisecond)
+		if len(urgent.stopping) != 0 || len(other.stopping) != 1 {
+			t.Errorf("told to stop: the urgent run %d, the one that can wait %d", len(urgent.stopping), len(other.stopping))
+		}
+	})
 	t.Run("without a guarantee priority 0 does not yield to priority 0", func(t *testing.T) {
 		b := newFixture(t, 1, 1)
 		first := b.job(0, "other", job.Step{Tasks: 1})
