Connections that go silent for good, in the soak

Cause: the users' pages say that open connections may go silent without a reset; the soak could cut, slow down and reset links only.

Change: a link can silence its open connections: nothing is forwarded on them, and neither end hears of the other's; new ones work. The soak draws it as one more fault of a link. The directory is read with waits of 5 s instead of 20 s, so a silent connection keeps news of entries away for no longer; polls bring agents the leader anyway.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -118,6 +118,7 @@
 		{"cut the other way", func(l *loopback.Link) { l.Back.Shut() }},
 		{"slow", func(l *loopback.Link) { l.Back.Slow(300 * time.Millisecond) }},
 		{"reset", (*loopback.Link).Reset},
+		{"silent on its open connections", func(l *loopback.Link) { l.Silence() }},
 	}
 	kind := kinds[s.random.IntN(len(kinds))]
 	s.note("link of %s %s for %v", b.name, kind.name, length)
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -24,8 +24,9 @@
 // by less, either leads as well.
 const muchLarger = 2.0
 
-// directoryWait is how long a read of the directory waits for news, which are rare.
-const directoryWait = 20 * time.Second
+// directoryWait is how long a read of the directory waits for news, which are rare. It also bounds how long a connection that has gone
+// silent keeps them away.
+const directoryWait = 5 * time.Second
 
 // directoryGap is the least time between two reads. A record that comes alone is read at once; when all entries begin within 0.3 s,
 // their records are read together and not one by one by each entry and agent.
--- a/loopback/link.go
+++ b/loopback/link.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,14 @@
 	mu   sync.Mutex
 	to   string
 	open map[net.Conn]bool
+	// pairs are the connections that are forwarded.
+	pairs map[*pair]bool
+}
+
+// pair is a connection to the link and its continuation.
+type pair struct {
+	// silent says that nothing is forwarded any more, neither bytes nor the end of either side.
+	silent atomic.Bool
 }
 
 // NewLink returns a link that listens already. Where it leads is set before it is used.
@@ -36,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Link{listener: l, open: map[net.Conn]bool{}}, nil
+	return &Link{listener: l, open: map[net.Conn]bool{}, pairs: map[*pair]bool{}}, nil
 }
 
 // Lead sets where the link goes, and opens it.
@@ -79,6 +88,17 @@
 	}
 }
 
+// Silence makes all open connections silent for good: nothing is forwarded on them any more, and neither end hears of the other's. New
+// connections work. It returns how many there were.
+func (l *Link) Silence() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.silent.Store(true)
+	}
+	return len(l.pairs)
+}
+
 // Close ends the link and its connections.
 func (l *Link) Close() {
 	l.listener.Close()
@@ -120,20 +140,37 @@
 		return
 	}
 	defer s.Close()
+	pair := &pair{}
+	defer l.forward(pair)()
 	ended := make(chan struct{}, 2)
-	go carry(s, c, &l.Forth, ended)
-	go carry(c, s, &l.Back, ended)
+	go pair.carry(s, c, &l.Forth, ended)
+	go pair.carry(c, s, &l.Back, ended)
 	<-ended
+	if pair.silent.Load() {
+		<-ended
+	}
+}
+
+// forward keeps a pair among those that are forwarded until the returned function is called.
+func (l *Link) forward(p *pair) (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pairs[p] = true
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.pairs, p)
+	}
 }
 
-// carry copies what comes from one connection to the other whenever the gate is open.
-func carry(to io.Writer, from io.Reader, g *Gate, ended chan<- struct{}) {
+// carry copies what comes from one connection to the other whenever the gate is open. Once the pair is silent it swallows it.
+func (p *pair) carry(to io.Writer, from io.Reader, g *Gate, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		g.pass()
-		if n > 0 {
+		if n > 0 && !p.silent.Load() {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
