A decision goes through the tasks that are placed, not through all there ever were

Cause: each decision and each list of what is wanted went through all tasks of all jobs by their maps, done ones too, and made each run anew; jobs of which everything runs were asked for what may start.

Change: a job's progress lists what is placed, in the order of placing (so decisions no longer depend on the order of maps); runs of a decision are made at once; a job of which everything is placed is passed over; how many tasks fit is noted at the node.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -34,6 +34,8 @@
 	// heldUntil is until when the room is free for short work only, because a gang waits for it.
 	heldUntil time.Time
 	usable    bool
+	// fits is how many tasks fit of the unit that is looked for.
+	fits int
 }
 
 // take takes the room of a need off the node.
@@ -152,14 +154,21 @@
 
 // addRuns takes what runs off the workers' room.
 func (p *plan) addRuns() {
+	placed := 0
+	for _, t := range p.c.jobs {
+		placed += t.progress.PlacedTasks()
+	}
+	// All runs of a decision are made at once: at the design size there are 14,000.
+	runs := make([]running, 0, placed)
 	for id, t := range p.c.jobs {
 		t.progress.Placed(id, func(name job.TaskName, task *job.Task) {
 			n := p.byName[task.Worker]
 			if n == nil || n.life.ID != task.Life {
 				return
 			}
-			step := t.job.Steps[name.Step]
-			r := &running{tracked: t, name: name, run: task.Run, node: n, need: step.Reserved()}
+			step := &t.job.Steps[name.Step]
+			runs = append(runs, running{tracked: t, name: name, run: task.Run, node: n, need: step.Reserved()})
+			r := &runs[len(runs)-1]
 			r.stopping = task.Done || t.stopping[name] == task.Run || t.progress.Phase.Final()
 			p.estimate(r, step)
 			p.addRun(r)
@@ -208,7 +217,7 @@
 }
 
 // estimate guesses when a run ends and what a stop would lose.
-func (p *plan) estimate(r *running, step job.Step) {
+func (p *plan) estimate(r *running, step *job.Step) {
 	length := p.c.length(r.tracked, r.name.Step)
 	worked, left := time.Duration(0), length
 	if o, known := r.node.worker.runs[runID(r)]; known {
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -171,8 +171,6 @@
 	}
 	need, tasks := w.step.Reserved(), len(w.unit.Tasks)
 	var candidates []*node
-	// here is how many tasks fit on a node.
-	here := map[*node]int{}
 	fits := 0
 	for _, n := range domain {
 		if !n.usable || !need.Fits(room(n)) || !p.mayPlace(w, n) {
@@ -180,14 +178,14 @@
 		}
 		if k := countOn(w, n, room(n), tasks); k > 0 {
 			candidates = append(candidates, n)
-			here[n] = k
+			n.fits = k
 			fits += k
 		}
 	}
 	if fits < tasks {
 		return nil
 	}
-	better := p.preference(w, candidates, here, room)
+	better := p.preference(w, candidates, room)
 	if tasks == 1 {
 		return []*node{slices.MinFunc(candidates, better)}
 	}
@@ -216,10 +214,10 @@
 	return count(w.step.Reserved(), room, most)
 }
 
-// preference orders nodes for a unit, the better ones first. Here is how many of its tasks fit on each of them. A gang takes the workers
+// preference orders nodes for a unit, the better ones first. A gang takes the workers
 // that hold the most of its members: each worker that leaves or fails breaks the gang, so it should be on few, and it frees whole workers
 // when it ends.
-func (p *plan) preference(w waiting, candidates []*node, here map[*node]int, room func(*node) job.Need) func(a, b *node) int {
+func (p *plan) preference(w waiting, candidates []*node, room func(*node) job.Need) func(a, b *node) int {
 	avoid := p.avoided(w)
 	serving := servingOn(w, candidates)
 	fullestFirst := p.c.has(FullestFirst)
@@ -233,8 +231,8 @@
 		); order != 0 {
 			return order
 		}
-		if together && here[a] != here[b] {
-			return cmp.Compare(here[b], here[a])
+		if together && a.fits != b.fits {
+			return cmp.Compare(b.fits, a.fits)
 		}
 		if fullestFirst {
 			x, y := room(a), room(b)
--- a/job/progress.go
+++ b/job/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -128,6 +129,14 @@
 	// EndedAt is when the phase became final, by the leader's clock.
 	EndedAt time.Time
 	tasks   map[slot]*Task
+	// placed lists the tasks that take room on a worker, in the order in which they were placed.
+	placed []placedTask
+}
+
+// placedTask is a task that takes room on a worker.
+type placedTask struct {
+	slot
+	task *Task
 }
 
 // NewProgress is the progress of a job of which nothing has begun.
@@ -151,28 +160,32 @@
 	}
 }
 
-// Placed calls f for each task that takes room on a worker, in no order.
+// Placed calls f for each task that takes room on a worker, in the order in which they were placed. Ends may be noted meanwhile.
 func (p *Progress) Placed(id ID, f func(TaskName, *Task)) {
-	p.Each(id, func(name TaskName, t *Task) {
-		if t.Placed() {
-			f(name, t)
+	for _, t := range p.placed {
+		if t.task.Placed() {
+			f(TaskName{Job: id, Round: t.round, Step: t.step, Index: t.index}, t.task)
 		}
-	})
+	}
 }
 
+// PlacedTasks is how many tasks of the job take room on a worker.
+func (p *Progress) PlacedTasks() int { return len(p.placed) }
+
 // AnyPlaced reports whether a task of the job takes room on a worker.
-func (p *Progress) AnyPlaced() bool {
-	for _, t := range p.tasks {
-		if t.Placed() {
-			return true
-		}
-	}
-	return false
+func (p *Progress) AnyPlaced() bool { return len(p.placed) > 0 }
+
+// unplace takes a task off the list. The list that Placed goes through at this moment stays as it is.
+func (p *Progress) unplace(s slot) {
+	p.placed = slices.DeleteFunc(slices.Clone(p.placed), func(t placedTask) bool { return t.slot == s })
 }
 
 // Assign places a new run of the task on a life of a worker.
 func (p *Progress) Assign(name TaskName, run int, worker, life string) {
 	t := p.touch(name)
+	if !t.Placed() {
+		p.placed = append(p.placed, placedTask{slot: slot{name.Round, name.Step, name.Index}, task: t})
+	}
 	t.Run, t.Worker, t.Life = run, worker, life
 	if p.Phase == Queued {
 		p.Phase = Running
@@ -208,6 +221,7 @@
 	}
 	worker := t.Worker
 	t.Worker, t.Life = "", ""
+	p.unplace(slot{name.Round, name.Step, name.Index})
 	step := j.Steps[name.Step]
 	members := []TaskName{name}
 	if step.Gang {
@@ -304,7 +318,7 @@
 // Waiting returns the units that may start now: their round is due (early at most before), their step's dependencies are
 // done, and nothing of them is placed.
 func (j *Job) Waiting(p *Progress, now time.Time, early time.Duration) []Unit {
-	if p.Phase.Final() {
+	if p.Phase.Final() || p.PlacedTasks() == j.tasks() {
 		return nil
 	}
 	var units []Unit
@@ -321,6 +335,15 @@
 	return units
 }
 
+// tasks is how many tasks all rounds of the job have.
+func (j *Job) tasks() int {
+	sum := 0
+	for _, s := range j.Steps {
+		sum += s.Tasks
+	}
+	return sum * j.Rounds()
+}
+
 func (j *Job) depends(p *Progress, round, step int) bool {
 	for _, a := range j.Steps[step].After {
 		if !p.stepDone(j, round, a) {
--- a/job/stored.go
+++ b/job/stored.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 )
@@ -101,7 +103,13 @@
 			return nil, fmt.Errorf("job.DecodeProgress: task %q: %w", key, err)
 		}
 		p.tasks[s] = &t
+		if t.Placed() {
+			p.placed = append(p.placed, placedTask{slot: s, task: &t})
+		}
 	}
+	slices.SortFunc(p.placed, func(a, b placedTask) int {
+		return cmp.Or(cmp.Compare(a.round, b.round), cmp.Compare(a.step, b.step), cmp.Compare(a.index, b.index))
+	})
 	return p, nil
 }
 
