--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -63,6 +63,8 @@
 	Saved string `json:"s,omitempty"`
 	// AgeMillis is for how long the run has been there; zero if the agent did not see the start.
 	AgeMillis int64 `json:"age_ms,omitempty"`
+	// ListedMillis is how old the run was when the worker said the percentage; zero if that is not known.
+	ListedMillis int64 `json:"listed_ms,omitempty"`
 	// Gauge is the worker's rough figure of the last half second: for a task with a target the tail of its answers' times, in
 	// milliseconds.
 	Gauge int `json:"-"`
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -97,7 +97,12 @@
 // leaveFree marks workers of the racks, in their order, until so many free accelerators are marked.
 func (p *plan) leaveFree(racks [][]*node, want int) {
 	for _, nodes := range racks {
-		slices.SortStableFunc(nodes, func(a, b *node) int { return cmp.Compare(b.later.Accelerators, a.later.Accelerators) })
+		slices.SortStableFunc(nodes, func(a, b *node) int {
+			return cmp.Or(
+				cmp.Compare(b.later.Accelerators, a.later.Accelerators),
+				p.compareIf(Speeds, cmp.Compare(a.worker.speed.class(), b.worker.speed.class())),
+			)
+		})
 		for _, n := range nodes {
 			if want <= 0 {
 				return
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -46,6 +46,8 @@
 	FullestFirst Mechanism = "fullest-first"
 	// FewWorkers: the members of a gang share as few workers as they can. Without: they fill the fullest workers one by one.
 	FewWorkers Mechanism = "few-workers"
+	// Speeds: urgent jobs go to the workers that have proved fast, what can wait to the slow ones. Without: speeds play no part.
+	Speeds Mechanism = "speeds"
 	// SavesApart: what saves its work and what does not fill the racks from either end. Without: all of it shares racks.
 	SavesApart Mechanism = "saves-apart"
 	// Headroom: what can wait leaves room free for urgent jobs like those seen lately. Without: it takes whatever fits.
@@ -58,7 +60,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Guarantees, InTimeFirst, SmallFirst, ExpiredLast, Reservations, Preemption, PreemptionBudget, RepeatCost, WaitForRoom, KeepFreed,
-		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, FewWorkers, SavesApart, Headroom, DataPatience,
+		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, FewWorkers, Speeds, SavesApart, Headroom, DataPatience,
 	}
 }
 
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -42,10 +42,12 @@
 		c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Int64("leaves_in_ms", poll.Life.LeavesIn).Msg("worker leaves")
 	}
 	w.life = poll.Life
+	before := w.runs
 	c.reportRuns(now, w, poll)
 	for _, e := range poll.Ends {
 		if e.Number > w.ends {
 			c.noteLength(e)
+			c.sampleEnd(w, e, before[e.RunID])
 			c.end(w, e)
 			w.ends = e.Number
 		}
@@ -71,7 +73,7 @@
 		})
 	}
 	c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Str("life", life.ID).Msg("worker reports")
-	w.life, w.ends, w.runs, w.health, w.leaves = life, 0, map[assignment.RunID]observed{}, health{}, time.Time{}
+	w.life, w.ends, w.runs, w.health, w.speed, w.leaves = life, 0, map[assignment.RunID]observed{}, health{}, speed{}, time.Time{}
 }
 
 func (c *Controller) reportRuns(now time.Time, w *worker, poll assignment.Poll) {
@@ -84,6 +86,7 @@
 		if r.Percent > o.percent {
 			o.percent, o.advanced = r.Percent, now
 		}
+		c.sampleRun(w, r, &o)
 		runs[r.RunID] = o
 	}
 	w.runs = runs
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -153,12 +153,45 @@
 
 // find returns a node for each task of the unit, or nil. With later it counts what was told to stop as gone.
 func (p *plan) find(w waiting, later bool) []*node {
+	var best []*node
 	for _, domain := range p.domains(w) {
-		if at := p.findIn(w, domain, later); at != nil {
+		at := p.findIn(w, domain, later)
+		if at == nil {
+			continue
+		}
+		if !p.seeksSpeed(w) {
 			return at
 		}
+		if best == nil || slowest(at) < slowest(best) {
+			best = at
+		}
+	}
+	return best
+}
+
+// seeksSpeed reports whether the unit looks for fast workers: an urgent one does, unless its data ties it to a rack.
+func (p *plan) seeksSpeed(w waiting) bool {
+	return w.tracked.job.Priority == 0 && w.step.DataRack == "" && p.c.has(Speeds)
+}
+
+// slowest is the highest class of the nodes' speeds.
+func slowest(at []*node) int {
+	worst := -1
+	for _, n := range at {
+		worst = max(worst, n.worker.speed.class())
+	}
+	return worst
+}
+
+// compareSpeeds puts fast workers first for urgent units, and slow ones for others.
+func (p *plan) compareSpeeds(w waiting, a, b *node) int {
+	if !p.c.has(Speeds) {
+		return 0
+	}
+	if p.seeksSpeed(w) {
+		return cmp.Compare(a.worker.speed.class(), b.worker.speed.class())
 	}
-	return nil
+	return cmp.Compare(b.worker.speed.class(), a.worker.speed.class())
 }
 
 // findIn fills the nodes that are the fullest first, so that what is left free stays together.
@@ -228,6 +261,7 @@
 			compareBool(disturbs(w.step, a), disturbs(w.step, b)),
 			cmp.Compare(serving[a], serving[b]),
 			p.compareEnds(w, a.rack, b.rack),
+			p.compareSpeeds(w, a, b),
 		); order != 0 {
 			return order
 		}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -24,6 +24,8 @@
 	// causes is why runs were told to stop, by their tasks; broken is why the newest broken run of a gang broke, by its first task.
 	causes map[job.TaskName]lossCause
 	broken map[job.TaskName]brokenGang
+	// paces is how its steps come on, by a name with the index 0.
+	paces map[job.TaskName]*stepPace
 	// waits is why its units were last logged to wait, by their first tasks.
 	waits map[job.TaskName]string
 }
@@ -43,13 +45,14 @@
 	// silent says that its agent gets no answer from it.
 	silent bool
 	health health
+	speed  speed
 }
 
 func newTracked(j *job.Job) *tracked {
 	return &tracked{
 		job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}, took: map[int]time.Duration{},
 		failedOn: map[string]time.Time{}, preemptedFor: map[job.TaskName]time.Time{}, waits: map[job.TaskName]string{},
-		causes: map[job.TaskName]lossCause{}, broken: map[job.TaskName]brokenGang{},
+		paces: map[job.TaskName]*stepPace{}, causes: map[job.TaskName]lossCause{}, broken: map[job.TaskName]brokenGang{},
 	}
 }
 
@@ -96,6 +99,8 @@
 	// base is the percentage that was first reported, at the time baseAt: a run may go on from a checkpoint.
 	base   int
 	baseAt time.Time
+	// sampled says that the run has said how fast its worker is.
+	sampled bool
 }
 
 // firstSeen is the first report of a run.
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -109,7 +109,7 @@
 			r.runs[run.RunID] = k
 			news = true
 		}
-		k.phase, k.percent, k.saved, k.gauge = there, run.Percent, run.Saved, run.Gauge
+		k.phase, k.percent, k.saved, k.gauge, k.listed = there, run.Percent, run.Saved, run.Gauge, time.Now()
 	}
 	for _, e := range l.Ends {
 		if e.Number <= r.seen {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -74,8 +74,10 @@
 	gauge int
 	// stopping says that a stop is under way.
 	stopping bool
-	// began is when the worker said that it had started the run; zero if this agent did not order that.
-	began time.Time
+	// began is when the worker said that it had started the run; zero if this agent did not order that. Listed is when it said the
+	// percentage.
+	began  time.Time
+	listed time.Time
 }
 
 // age is for how long the run has been there, zero if that is not known.
@@ -86,6 +88,14 @@
 	return time.Since(k.began)
 }
 
+// listedAge is how old the run was when its percentage was said, zero if that is not known.
+func (k *known) listedAge() time.Duration {
+	if k.began.IsZero() || k.listed.Before(k.began) {
+		return 0
+	}
+	return k.listed.Sub(k.began)
+}
+
 // refusal is a run that will never start here. It is told until a poll later than the one numbered told has been heard.
 type refusal struct {
 	reason string
@@ -302,7 +312,7 @@
 		return p, r.generation
 	}
 	for id, k := range r.runs {
-		p.Runs = append(p.Runs, assignment.Run{RunID: id, Percent: k.percent, Saved: k.saved, AgeMillis: k.age().Milliseconds()})
+		p.Runs = append(p.Runs, assignment.Run{RunID: id, Percent: k.percent, Saved: k.saved, AgeMillis: k.age().Milliseconds(), ListedMillis: k.listedAge().Milliseconds()})
 	}
 	for _, n := range slices.Sorted(maps.Keys(r.ends)) {
 		p.Ends = append(p.Ends, r.ends[n])
