A log that resets each call is known for it after two reads, and callers are refused at once

Cause: while the store resets connections each append ends in doubt, and an entry went on sending for 1.2 s after its last proof: each caller of that time was held until its deadline, 2.2 s, and then told 504.

Change: two reads in a row that end with an error, other than for lack of time, say that the log turns this entry away; until a read succeeds nothing is sent on its own way, and a call for which no other entry has a way is refused at once, truly as not run. A failed append has the next read begin at once. Silence is judged as before: a log that is slow must not be taken for one that rejects.

Shown by jobstore.TestWriter, 'both have reset for a while' (before: 2.2 s and doubt; after: refused within 0.1 s).

--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -305,6 +305,7 @@
 		{"its own way has been silent", silent, jobtest.Fault{}, 3 * time.Second, true, false, 100 * time.Millisecond},
 		{"both refuse", refuse, refuse, 0, false, false, 100 * time.Millisecond},
 		{"both reset", reset, reset, 0, false, true, 2300 * time.Millisecond},
+		{"both have reset for a while: nothing is sent", reset, reset, 500 * time.Millisecond, false, false, 100 * time.Millisecond},
 		{"both have been silent: nothing is sent", silent, silent, 3 * time.Second, false, false, 100 * time.Millisecond},
 	}
 	for _, test := range tests {
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -88,6 +88,9 @@
 // Hurry has the next read begin at once.
 func (r *Replica) Hurry() { r.tail.Hurry() }
 
+// Rejected reports whether the log turns this process away.
+func (r *Replica) Rejected() bool { return r.tail.Rejected() }
+
 // Refresh reads what there is now, unless the newest proof is only a moment old, or ctx ends first.
 func (r *Replica) Refresh(ctx context.Context) {
 	asked := time.Now()
--- a/jobstore/tail.go
+++ b/jobstore/tail.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,9 @@
 	readLimit = 2500 * time.Millisecond
 	// silentAfter is the number of reads without an answer from which on the log is said to be silent.
 	silentAfter = 3
+	// rejectedAfter is the number of reads in a row that ended with an error, and not for lack of time, from which on the log rejects this
+	// process. A single one may be the reset of one connection.
+	rejectedAfter = 2
 )
 
 // Tail follows a topic: first the newest record of each key, then what is appended.
@@ -44,6 +48,8 @@
 	next     int64
 	failures int
 	lost     time.Time
+	// rejections counts reads in a row that ended with an error.
+	rejections atomic.Int64
 }
 
 // News is what a tail has read.
@@ -180,6 +186,9 @@
 			if errors.Is(err, ErrExpired) {
 				return true
 			}
+			if !errors.Is(err, context.DeadlineExceeded) {
+				t.rejections.Add(1)
+			}
 			t.noteFailure(ctx, err)
 			return false
 		},
@@ -187,6 +196,9 @@
 	return calls.Do(ctx)
 }
 
+// Rejected reports whether the log turns this process away: its last reads ended with errors.
+func (t *Tail) Rejected() bool { return t.rejections.Load() >= rejectedAfter }
+
 // errSilent says that the log gave no answer to several reads.
 var errSilent = errors.New("no answer")
 
@@ -211,6 +223,7 @@
 }
 
 func (t *Tail) noteSuccess() {
+	t.rejections.Store(0)
 	if t.failures == 0 {
 		return
 	}
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -126,9 +126,11 @@
 	wr.logger.Info().Str("step", "jobstore.look").Str("entry", address).Msg("entry is there again")
 }
 
+// reachesLog reports whether the log has answered lately and does not turn this entry away. What is sent to a log that resets each call
+// stays uncertain until its caller has left: a caller who is refused at once can come back.
 func (wr *Writer) reachesLog() bool {
 	proof := wr.replica.Proof()
-	return !proof.IsZero() && time.Since(proof) < keepProof
+	return !proof.IsZero() && time.Since(proof) < keepProof && !wr.replica.Rejected()
 }
 
 // append keeps a record by this entry's own way.
@@ -137,6 +139,9 @@
 	offset, err := wr.log.Append(ctx, []Record{record}, Condition{})
 	if err == nil {
 		wr.latency.Note(time.Since(sent))
+	} else {
+		// Whether that was one call or all of them is seen by a read.
+		wr.replica.Hurry()
 	}
 	return offset, err
 }
