--- a/cmd/yarrowgraded/jobagent.go
+++ b/cmd/yarrowgraded/jobagent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -29,6 +30,11 @@
   yarrowgraded job-agent
 `
 
+// agentGCPercent is how much an agent's heap may grow until it is collected, in percent. There is one beside each worker, so its memory is
+// the largest part of the system's: with 20 instead of 100 its peak is 5.8 MB instead of 7.2, for 0.16 % of a core instead of 0.14 (one calm
+// day of 55 s each).
+const agentGCPercent = 20
+
 // workerDrift is the most by which a worker's clock may be slow, as a share.
 const workerDrift = 0.03
 
@@ -51,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(agentGCPercent)
 	directory, r := newJobAgent(s, t)
 	inner := httprouter.New()
 	inner.Handler(http.MethodGet, "/metrics", t.MetricsHandler)
