--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -57,7 +57,7 @@
 	return seen
 }
 
-// singly is what each of the jobs needs, and together what it needs with those that come within burstSpan after it.
+// singly is how many accelerators each of the jobs takes.
 func singly(seen []urgentArrival) []int {
 	widths := make([]int, len(seen))
 	for i, a := range seen {
@@ -66,6 +66,7 @@
 	return widths
 }
 
+// together is how many accelerators each of the jobs takes with those that come within burstSpan after it.
 func together(seen []urgentArrival) []int {
 	sums := make([]int, len(seen))
 	for i, a := range seen {
@@ -85,6 +86,8 @@
 	return needed[int(urgentQuantile*float64(len(needed)-1)+0.5)]
 }
 
+// keepHeadroomFor marks workers of a service: in the rack with the most room for most single jobs, and over all racks for most of the
+// moments at which several came.
 func (p *plan) keepHeadroomFor(service string, seen []urgentArrival) {
 	racks, total := p.roomyRacks(service)
 	if len(racks) == 0 {
