--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -63,7 +63,9 @@
 	advice   *advice
 	// forecast predicts how long tasks work.
 	forecast *forecast
-	metrics  *Metrics
+	// stops is how long runs take to stop.
+	stops   stopTimes
+	metrics *Metrics
 	// observed is when the room was noted last.
 	observed time.Time
 	// next is when the next decision is due by itself.
--- a/dispatch/earliest.go
+++ b/dispatch/earliest.go
@@ -8,9 +8,6 @@
 	"yarrowgrade.example/yarrowgrade/job"
 )
 
-// stopTime is about how long a run goes on after it is told to stop: up to 0.4 s on one of the users' sites, 0.9 s on the other.
-const stopTime = 500 * time.Millisecond
-
 // fit is room that a unit would find by itself.
 type fit struct {
 	// at holds a node for each task, and when is the time from which all of it is free.
@@ -58,7 +55,7 @@
 
 // endOf is when a run's room is forecast to be free.
 func (p *plan) endOf(r *running) time.Time {
-	if soon := p.now.Add(stopTime); r.stopping && soon.Before(r.ends) {
+	if soon := p.now.Add(p.stopTime); r.stopping && soon.Before(r.ends) {
 		return soon
 	}
 	return r.ends
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -95,6 +95,8 @@
 	noRoom map[search]bool
 	// gangs holds the runs of each gang, by the name of its first task.
 	gangs map[job.TaskName][]*running
+	// stopTime is how long a stop is reckoned to take.
+	stopTime time.Duration
 	// headroom holds the nodes that are left free for urgent jobs by what can wait.
 	headroom map[*node]bool
 }
@@ -102,7 +104,7 @@
 // Plan decides what to start and what to stop, and notes it in the jobs' progress. Questions to the adviser end with ctx.
 func (c *Controller) Plan(ctx context.Context, now time.Time) {
 	c.next = now.Add(c.settings.Every)
-	p := &plan{c: c, ctx: ctx, now: now, racks: map[string]*rack{}, byName: map[string]*node{}, noRoom: map[search]bool{}, gangs: map[job.TaskName][]*running{}}
+	p := &plan{c: c, ctx: ctx, now: now, racks: map[string]*rack{}, byName: map[string]*node{}, noRoom: map[search]bool{}, gangs: map[job.TaskName][]*running{}, stopTime: c.stops.usual()}
 	p.addNodes()
 	p.addRuns()
 	p.guaranteed = p.guaranteedJobs()
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -82,7 +82,7 @@
 
 // latestStart is the latest time at which the unit still may start by itself: later, work is stopped for it.
 func (p *plan) latestStart(w waiting) time.Time {
-	latest := w.due.Add(-w.length - stopTime)
+	latest := w.due.Add(-w.length - p.stopTime)
 	if limit := w.tracked.job.Accepted.Add(patienceOfOwners); w.guaranteed && latest.After(limit) {
 		return limit
 	}
@@ -106,6 +106,7 @@
 	p.c.metrics.stopped(why)
 	r.tracked.stopping[r.name] = r.run
 	r.tracked.causes[r.name] = stopCause(why)
+	r.tracked.stoppedAt[r.name] = p.now
 	r.node.later = r.node.later.Plus(r.need, 1)
 	p.c.logger.Info().Str("step", "dispatch.stop").Stringer("task", r.name).Int("run", r.run).Str("worker", r.node.name).
 		Float64("lost_work_core_s", r.lostWork).Str("why", why).Msg("run is to stop")
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -122,6 +122,10 @@
 	}
 	c.logger.Info().Str("step", "dispatch.end").Stringer("task", e.Task).Int("run", e.Run).Str("how", string(e.How)).
 		Int64("took_ms", e.TookMillis).Str("cause", string(cause)).Float64("lost_core_s", lost).Msg("run ended")
+	if told, ok := t.stoppedAt[e.Task]; ok && e.How == job.EndStopped {
+		c.stops.note(time.Since(told))
+	}
+	delete(t.stoppedAt, e.Task)
 	delete(t.stopping, e.Task)
 	if t.progress.Phase != before && t.progress.Phase.Final() {
 		c.logger.Info().Str("step", "dispatch.end").Str("job", string(e.Task.Job)).Stringer("phase", t.progress.Phase).
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -21,6 +21,8 @@
 	failedOn map[string]time.Time
 	// preemptedFor is when work was last told to stop for a unit, by its first task.
 	preemptedFor map[job.TaskName]time.Time
+	// stoppedAt is when runs were told to stop, by their tasks.
+	stoppedAt map[job.TaskName]time.Time
 	// causes is why runs were told to stop, by their tasks; broken is why the newest broken run of a gang broke, by its first task.
 	causes map[job.TaskName]lossCause
 	broken map[job.TaskName]brokenGang
@@ -52,7 +54,7 @@
 	return &tracked{
 		job: j, progress: job.NewProgress(), stopping: map[job.TaskName]int{}, took: map[int]time.Duration{},
 		failedOn: map[string]time.Time{}, preemptedFor: map[job.TaskName]time.Time{}, waits: map[job.TaskName]string{},
-		paces: map[job.TaskName]*stepPace{}, causes: map[job.TaskName]lossCause{}, broken: map[job.TaskName]brokenGang{},
+		paces: map[job.TaskName]*stepPace{}, stoppedAt: map[job.TaskName]time.Time{}, causes: map[job.TaskName]lossCause{}, broken: map[job.TaskName]brokenGang{},
 	}
 }
 
