--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -17,6 +17,10 @@
 	urgentQuantile = 0.9
 	// mostHeadroom bounds it, as a share of a service's accelerators. With 0.3 and 0.45 it gained less.
 	mostHeadroom = 0.6
+	// Where several urgent jobs come at once, most of these moments are to fit in too: burstSpan is how far apart they may come, about
+	// what a stop takes until its room is free, and mostBurst bounds the room for them, as a share of a service's accelerators.
+	burstSpan = time.Second
+	mostBurst = 0.2
 	// slackSpent is the share of its slack that a job may spend on waiting for other room. With 1.0 it gained less.
 	slackSpent = 0.8
 	// idlePatience is how long a job of which nothing runs waits for other room: callers may expect that one for which there is
@@ -24,56 +28,101 @@
 	idlePatience = 2 * time.Second
 )
 
-// keepHeadroom marks the workers of each service that are left free for urgent jobs: in the rack with the most room, as many
+// keepHeadroom marks the workers of each service that are left free for urgent jobs: in the racks with the most room, as many
 // as the urgent jobs of the last minute would have needed.
 func (p *plan) keepHeadroom() {
 	p.headroom = map[*node]bool{}
-	for service, want := range p.urgentWidths() {
-		p.keepHeadroomFor(service, want)
+	for service, seen := range p.urgentSeen() {
+		p.keepHeadroomFor(service, seen)
 	}
 }
 
-// urgentWidths is, by service, how many accelerators most urgent jobs of the last minute took at once.
-func (p *plan) urgentWidths() map[string]int {
-	seen := map[string][]int{}
+// urgentArrival is an urgent job that was accepted a while ago, and how many accelerators it takes at once.
+type urgentArrival struct {
+	at    time.Time
+	width int
+}
+
+// urgentSeen lists, by service, the urgent jobs of the last minute in the order in which they came.
+func (p *plan) urgentSeen() map[string][]urgentArrival {
+	seen := map[string][]urgentArrival{}
 	for _, t := range p.c.jobs {
 		if t.job.Priority == 0 && p.now.Sub(t.job.Accepted) < urgentMemory {
-			seen[t.job.Service] = append(seen[t.job.Service], widest(t.job))
+			seen[t.job.Service] = append(seen[t.job.Service], urgentArrival{at: t.job.Accepted, width: widest(t.job)})
 		}
 	}
-	widths := map[string]int{}
-	for service, all := range seen {
-		slices.Sort(all)
-		widths[service] = all[int(urgentQuantile*float64(len(all)-1)+0.5)]
+	for _, all := range seen {
+		slices.SortFunc(all, func(a, b urgentArrival) int { return a.at.Compare(b.at) })
+	}
+	return seen
+}
+
+// singly is how many accelerators each of the jobs takes.
+func singly(seen []urgentArrival) []int {
+	widths := make([]int, len(seen))
+	for i, a := range seen {
+		widths[i] = a.width
 	}
 	return widths
 }
 
-// keepHeadroomFor marks workers of a service until so many free accelerators are marked, the fast ones first.
-func (p *plan) keepHeadroomFor(service string, want int) {
-	nodes, total := p.roomiestRack(service)
-	want = min(want, int(mostHeadroom*float64(total)))
-	slices.SortStableFunc(nodes, func(a, b *node) int {
-		return cmp.Or(
-			cmp.Compare(b.later.Accelerators, a.later.Accelerators),
-			p.compareIf(Speeds, cmp.Compare(a.worker.speed.class(), b.worker.speed.class())),
-		)
-	})
-	for _, n := range nodes {
-		if want <= 0 || n.later.Accelerators <= 0 {
-			return
+// together is how many accelerators each of the jobs takes with those that come within burstSpan after it.
+func together(seen []urgentArrival) []int {
+	sums := make([]int, len(seen))
+	for i, a := range seen {
+		for _, b := range seen[i:] {
+			if b.at.Sub(a.at) >= burstSpan {
+				break
+			}
+			sums[i] += b.width
 		}
-		p.headroom[n] = true
-		want -= n.later.Accelerators
 	}
+	return sums
 }
 
-// roomiestRack returns the usable workers of a service in the rack where most accelerators are free, and how many accelerators
+// mostOf is the urgentQuantile of what was needed.
+func mostOf(needed []int) int {
+	slices.Sort(needed)
+	return needed[int(urgentQuantile*float64(len(needed)-1)+0.5)]
+}
+
+// keepHeadroomFor marks workers of a service: in the rack with the most room for most single jobs, and over all racks for most of the
+// moments at which several came.
+func (p *plan) keepHeadroomFor(service string, seen []urgentArrival) {
+	racks, total := p.roomyRacks(service)
+	if len(racks) == 0 {
+		return
+	}
+	p.leaveFree(racks[:1], min(mostOf(singly(seen)), int(mostHeadroom*float64(total))))
+	p.leaveFree(racks, min(mostOf(together(seen)), int(mostBurst*float64(total))))
+}
+
+// leaveFree marks workers of the racks, in their order, until so many free accelerators are marked.
+func (p *plan) leaveFree(racks [][]*node, want int) {
+	for _, nodes := range racks {
+		slices.SortStableFunc(nodes, func(a, b *node) int {
+			return cmp.Or(
+				cmp.Compare(b.later.Accelerators, a.later.Accelerators),
+				p.compareIf(Speeds, cmp.Compare(a.worker.speed.class(), b.worker.speed.class())),
+			)
+		})
+		for _, n := range nodes {
+			if want <= 0 {
+				return
+			}
+			if n.later.Accelerators > 0 {
+				p.headroom[n] = true
+				want -= n.later.Accelerators
+			}
+		}
+	}
+}
+
+// roomyRacks returns the usable workers of a service by racks, those with the most free accelerators first, and how many accelerators
 // the service has in all.
-func (p *plan) roomiestRack(service string) (best []*node, total int) {
-	most, place := 0, 0
+func (p *plan) roomyRacks(service string) (racks [][]*node, total int) {
+	free := map[*rack]int{}
 	for _, r := range p.racks {
-		free := 0
 		var usable []*node
 		for _, n := range r.nodes {
 			if n.life.Service != service {
@@ -81,15 +130,19 @@
 			}
 			total += n.life.Room.Accelerators
 			if n.usable {
-				free += n.later.Accelerators
+				free[r] += max(n.later.Accelerators, 0)
 				usable = append(usable, n)
 			}
 		}
-		if free > most || free == most && free > 0 && r.place < place {
-			best, most, place = usable, free, r.place
+		if len(usable) > 0 {
+			racks = append(racks, usable)
 		}
 	}
-	return best, total
+	slices.SortFunc(racks, func(a, b []*node) int {
+		x, y := a[0].rack, b[0].rack
+		return cmp.Or(-cmp.Compare(free[x], free[y]), cmp.Compare(x.place, y.place))
+	})
+	return racks, total
 }
 
 // leavesHeadroom reports whether a unit can wait for room that is not kept for urgent jobs: it is not urgent, something of its
--- a/dispatch/headroom_test.go
+++ b/dispatch/headroom_test.go
@@ -43,6 +43,19 @@
 			}
 		})
 	}
+	t.Run("room for several that come at once", func(t *testing.T) {
+		b := newFixture(t, 10, 2)
+		for range 4 {
+			b.job(0, "", job.Step{Tasks: 1, Need: one, Estimate: time.Second})
+		}
+		b.plan(0)
+		b.finishAll(job.EndDone)
+		sweep := b.job(2, "", job.Step{Tasks: 20, Need: one})
+		b.plan(0)
+		if got := len(b.at(sweep)); got != 16 {
+			t.Errorf("%d of 20 tasks of the sweep are placed, want all but room for the four that came at once", got)
+		}
+	})
 	t.Run("urgent jobs use it", func(t *testing.T) {
 		b := newFixture(t, 2, 2)
 		b.job(0, "", job.Step{Tasks: 2, Need: one, Estimate: time.Second})
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -34,6 +34,8 @@
 	// heldUntil is until when the room is free for short work only, because a gang waits for it.
 	heldUntil time.Time
 	usable    bool
+	// fits is how many tasks fit of the unit that is looked for.
+	fits int
 }
 
 // take takes the room of a need off the node.
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -50,6 +50,20 @@
 			t.Errorf("it is placed on %v", got)
 		}
 	})
+	t.Run("a gang is on as few workers as can be", func(t *testing.T) {
+		b := newFixture(t, 1, 4)
+		b.job(1, "other", job.Step{Tasks: 1, Need: small, Estimate: time.Minute})
+		b.plan(0)
+		gang := b.job(0, "other", job.Step{Tasks: 4, Gang: true, Need: job.Need{CPU: 4000, Memory: 1000, Accelerators: 4}})
+		b.plan(0)
+		on := map[string]int{}
+		for _, n := range b.at(gang) {
+			on[n]++
+		}
+		if len(on) != 2 {
+			t.Errorf("its 4 members are on %v, want two on each of two workers", on)
+		}
+	})
 	t.Run("labels", func(t *testing.T) {
 		b := newFixture(t, 1, 3)
 		b.control.workers["w0-1"].life.Labels = []string{"b", "r0"}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -44,6 +44,8 @@
 	Evacuation Mechanism = "evacuation"
 	// FullestFirst: the fullest rack and worker are filled first. Without: in the order of names.
 	FullestFirst Mechanism = "fullest-first"
+	// FewWorkers: the members of a gang share as few workers as they can. Without: they fill the fullest workers one by one.
+	FewWorkers Mechanism = "few-workers"
 	// Speeds: urgent jobs go to the workers that have proved fast, what can wait to the slow ones. Without: speeds play no part.
 	Speeds Mechanism = "speeds"
 	// SavesApart: what saves its work and what does not fill the racks from either end. Without: all of it shares racks.
@@ -58,7 +60,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Guarantees, InTimeFirst, SmallFirst, ExpiredLast, Reservations, Preemption, PreemptionBudget, RepeatCost, WaitForRoom, KeepFreed,
-		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, Speeds, SavesApart, Headroom, DataPatience,
+		Forecasts, Quarantine, AvoidFailed, MoveStalled, Evacuation, FullestFirst, FewWorkers, Speeds, SavesApart, Headroom, DataPatience,
 	}
 }
 
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -211,6 +211,7 @@
 		}
 		if k := countOn(w, n, room(n), tasks); k > 0 {
 			candidates = append(candidates, n)
+			n.fits = k
 			fits += k
 		}
 	}
@@ -246,11 +247,14 @@
 	return count(w.step.Reserved(), room, most)
 }
 
-// preference orders nodes for a unit, the better ones first.
+// preference orders nodes for a unit, the better ones first. A gang takes the workers
+// that hold the most of its members: each worker that leaves or fails breaks the gang, so it should be on few, and it frees whole workers
+// when it ends.
 func (p *plan) preference(w waiting, candidates []*node, room func(*node) job.Need) func(a, b *node) int {
 	avoid := p.avoided(w)
 	serving := servingOn(w, candidates)
 	fullestFirst := p.c.has(FullestFirst)
+	together := w.step.Gang && p.c.has(FewWorkers)
 	return func(a, b *node) int {
 		if order := cmp.Or(
 			compareBool(avoid[a.name], avoid[b.name]),
@@ -261,6 +265,9 @@
 		); order != 0 {
 			return order
 		}
+		if together && a.fits != b.fits {
+			return cmp.Compare(b.fits, a.fits)
+		}
 		if fullestFirst {
 			x, y := room(a), room(b)
 			if order := cmp.Or(cmp.Compare(a.rack.free, b.rack.free), cmp.Compare(x.Accelerators, y.Accelerators), cmp.Compare(x.CPU, y.CPU)); order != 0 {
