--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -18,7 +18,8 @@
 	// mostHeadroom bounds it, as a share of a service's accelerators. With 0.3 and 0.45 it gained less.
 	mostHeadroom = 0.6
 	// Where several urgent jobs come at once, most of these moments are to fit in too: burstSpan is how far apart they may come, about
-	// what a stop takes until its room is free, and mostBurst bounds the room for them, as a share of a service's accelerators.
+	// what a stop takes until its room is free, and mostBurst bounds the room for them, as a share of a service's accelerators. On 240 workers,
+	// without this and without gangs on few workers, 0.025 (error 0.009, ten days in pairs) less of what is owed was served.
 	burstSpan = time.Second
 	mostBurst = 0.2
 	// slackSpent is the share of its slack that a job may spend on waiting for other room. With 1.0 it gained less.
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -74,8 +74,9 @@
 }
 
 // compareEnds orders two racks for a unit that may have to yield: what can't save its work fills the racks from the first on, what can
-// from the last on. Urgent jobs that need a rack then find some in which stopping all loses next to nothing. Urgent units themselves have
-// no end: they take what is left in the fullest racks.
+// from the last on. Urgent jobs that need a rack then find some in which stopping all loses next to nothing: with this order below that of speeds,
+// so that both kinds shared racks, half as much work again was lost on 240 workers (0.167 of a day instead of 0.115, two days). Urgent units
+// themselves have no end: they take what is left in the fullest racks.
 func (p *plan) compareEnds(w waiting, a, b *rack) int {
 	if w.tracked.job.Priority == 0 || !p.c.has(SavesApart) {
 		return 0
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -16,8 +16,8 @@
 // replicaWait is how long a read of a replica waits for news: it bounds the age of its proof.
 const replicaWait = 300 * time.Millisecond
 
-// Pace of reads. Where each of many entries reads each record as it comes, calls grow as entries times records: 55 entries made 104,000
-// calls in 55 s, 28,000 with these bounds (one calm day each).
+// Pace of reads. Where each of many entries reads each record as it comes, calls grow as entries times records: 55 entries made 94,600
+// calls in 55 s, 25,600 with these bounds (one play each of a day).
 const (
 	// readShare is the time between two reads for each entry that there is: all entries together make some 140 reads a second, however
 	// many they are.
