An end of a step that its job does not have is no sample of speed

Cause: on the last reading: sampleEnd looked at the step of an end before anything had checked that the job has it; a poll with such an end would have ended the leader's process.

Change: it is passed over. Shown by dispatch.TestSpeedOfUnknownStep (before: index out of range).

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -89,7 +89,10 @@
 // sampleEnd takes a run that has ended done as a sample, if it was none on its way. The end of a gang is that of its slowest member.
 func (c *Controller) sampleEnd(w *worker, e assignment.End, o observed) {
 	t := c.jobs[e.Task.Job]
-	if t == nil || o.sampled || e.How != job.EndDone || t.job.Steps[e.Task.Step].Gang || !c.fromTheStart(e.RunID) {
+	if t == nil || o.sampled || e.How != job.EndDone || e.Task.Step >= len(t.job.Steps) {
+		return
+	}
+	if t.job.Steps[e.Task.Step].Gang || !c.fromTheStart(e.RunID) {
 		return
 	}
 	c.noteSpeed(w, e.RunID, 100, e.TookMillis)
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -54,6 +54,18 @@
 	}
 }
 
+// TestSpeedOfUnknownStep: an end of a step that the job does not have is passed over.
+func TestSpeedOfUnknownStep(t *testing.T) {
+	b := newFixture(t, 1, 1)
+	j := b.job(1, "other", job.Step{Tasks: 1})
+	w := b.control.workers["w0-0"]
+	id := assignment.RunID{Task: job.TaskName{Job: j.job.ID, Step: 1}, Run: 1}
+	b.control.sampleEnd(w, assignment.End{RunID: id, How: job.EndDone, TookMillis: 1000}, observed{})
+	if w.speed != (speed{}) {
+		t.Errorf("it counts as a sample: %+v", w.speed)
+	}
+}
+
 // TestSpeedsDecide: an urgent job gets the fast worker, what can wait the slow one, and an urgent gang of a rack the rack without slow ones.
 func TestSpeedsDecide(t *testing.T) {
 	fast, slow := speed{sum: -2, samples: 8}, speed{sum: 2, samples: 8}
