--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -22,10 +22,10 @@
 // service is an admission service whose configuration has one open queue, beside a log that a test gives faults to.
 func service(ctx context.Context, log, config *jobtest.Log, logger zerolog.Logger) *admission.Service {
 	replica := jobstore.NewReplica(log.Client("e"), func() int { return 1 }, logger)
-	follower := catalog.NewFollower(config.Client("e"), "config", func([]byte) (*catalog.Catalog, error) {
+	follower := catalog.NewFollower(config.Client("e"), catalog.Format{ConfigKey: "config", Config: func([]byte) (*catalog.Catalog, error) {
 		c := catalog.Catalog{Version: 1, Queues: []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Open: true, Attempts: 1}}}
 		return c.WithIndex(), nil
-	}, logger)
+	}}, logger)
 	writer := jobstore.NewWriter(log.Client("e"), replica.Latency(), replica, func() []string { return nil }, "e", http.DefaultClient, logger)
 	go replica.Run(ctx)
 	go follower.Run(ctx)
--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -149,6 +149,9 @@
 	// stop all the same: their start may be under way, or the leader has missed their end and waits for it.
 	Stop   []RunID `json:"stop,omitempty"`
 	Settle []RunID `json:"settle,omitempty"`
+	// Open says that no operator has cordoned the worker's availability zone, and OpenMillis how old the proof of that is.
+	Open       bool  `json:"open,omitempty"`
+	OpenMillis int64 `json:"open_ms,omitempty"`
 	// Roles lists those of the worker's runs that have a target or that fill.
 	Roles []Role `json:"roles,omitempty"`
 	// Life is the life that Start, Stop, Settle, Roles and Seen are about; Seen is up to which end all is kept.
@@ -163,6 +166,12 @@
 func (a Answer) Held() time.Duration  { return time.Duration(a.HeldMillis) * time.Millisecond }
 func (a Answer) Lease() time.Duration { return time.Duration(a.LeaseMillis) * time.Millisecond }
 
+// OpenSince is the time of the proof that the worker's zone is open, on the clock of an agent that sent its poll at that time. It is
+// never later than the proof: the answer was sent no sooner than the poll was held, and ages are rounded up.
+func (a Answer) OpenSince(sent time.Time) time.Time {
+	return sent.Add(a.Held() - time.Duration(a.OpenMillis)*time.Millisecond)
+}
+
 // Redirect says where the leader is, as far as the entry knows.
 type Redirect struct {
 	Term    int64  `json:"term"`
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,13 +1,14 @@
-// Package catalog holds what operators have put in force for jobs: queues, services and teams, and how old the proof is
-// that nothing newer is in force.
+// Package catalog holds what operators have put in force for jobs: queues, services and teams, the availability zones that
+// are cordoned, and how old the proof is that nothing newer is in force.
 //
 // A Catalog is an immutable value. A Follower keeps the newest one and never goes back to an older version.
 //
 // # Usage
 //
-//	f := catalog.NewFollower(topic, "config", decode, logger)
+//	f := catalog.NewFollower(topic, catalog.Format{ConfigKey: "config", Config: decode}, logger)
 //	go f.Run(ctx)
 //	c, proof := f.Current()
+//	cordons, proof := f.Cordons()
 //	queue, ok := c.Route("nony24.example", "/lohu930/5c0e7a21d94b36f8")
 package catalog
 
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +31,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		log := jobtest.NewLog(1)
-		f := catalog.NewFollower(log.Client("e"), "config", decode, zerolog.Nop())
+		f := catalog.NewFollower(log.Client("e"), catalog.Format{ConfigKey: "config", Config: decode}, zerolog.Nop())
 		go f.Run(ctx)
 		if c, _ := f.Current(); c != nil {
 			t.Error("a configuration is in force before one came")
@@ -58,3 +62,120 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// cordonFormat reads the records of tests: a cordon's value is "yes".
+var cordonFormat = catalog.Format{
+	ConfigKey: "config", Config: decode, Zones: []string{"a", "b"},
+	CordonedZone: func(key string) (string, bool) { return strings.CutPrefix(key, "cordon/") },
+	CheckCordon: func(value []byte) error {
+		if string(value) != "yes" {
+			return errors.New("want yes")
+		}
+		return nil
+	},
+}
+
+// TestCordons: which zones are cordoned follows from operators' records in their order; one that is unreadable changes nothing.
+func TestCordons(t *testing.T) {
+	type record struct{ zone, value string }
+	tests := []struct {
+		name    string
+		records []record
+		// want is what is cordoned for a reader that sees each record, newest for one that sees only the newest of each key.
+		want, newest []string
+		logged       string
+	}{
+		{"none", nil, nil, nil, ""},
+		{"one", []record{{"a", "yes"}}, []string{"a"}, []string{"a"}, "zone is cordoned"},
+		{"two", []record{{"b", "yes"}, {"a", "yes"}}, []string{"a", "b"}, []string{"a", "b"}, "zone is cordoned"},
+		{"taken away", []record{{"a", "yes"}, {"a", ""}}, nil, nil, "zone is open again"},
+		{"taken away and put back", []record{{"a", "yes"}, {"a", ""}, {"a", "yes"}}, []string{"a"}, []string{"a"}, "zone is open again"},
+		{"unreadable", []record{{"a", "no"}}, nil, []string{"a"}, "cordon is unreadable"},
+		{"unreadable after a readable one", []record{{"a", "yes"}, {"a", "no"}}, []string{"a"}, []string{"a"}, "cordon is unreadable"},
+		{"a zone that does not exist", []record{{"c", "yes"}}, []string{"c"}, []string{"c"}, "cordoned zone does not exist"},
+	}
+	for _, test := range tests {
+		for _, atOnce := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, at once %v", test.name, atOnce), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					var out strings.Builder
+					log := jobtest.NewLog(1)
+					f := catalog.NewFollower(log.Client("e"), cordonFormat, zerolog.New(&out))
+					if !atOnce {
+						go f.Run(ctx)
+						time.Sleep(time.Second)
+					}
+					for _, r := range test.records {
+						put(ctx, t, log, "cordon/"+r.zone, r.value)
+						time.Sleep(20 * time.Millisecond)
+					}
+					if atOnce {
+						go f.Run(ctx)
+					}
+					time.Sleep(time.Second)
+					cordons, proof := f.Cordons()
+					want := test.want
+					if atOnce {
+						want = test.newest
+					}
+					if got := slices.Sorted(maps.Keys(cordons)); !slices.Equal(got, want) {
+						t.Errorf("cordoned are %q, want %q", got, want)
+					}
+					if time.Since(proof) > time.Second {
+						t.Errorf("the proof is %v old", time.Since(proof))
+					}
+					// Of records that were replaced before the first read only the newest is there.
+					if !atOnce && !strings.Contains(out.String(), test.logged) {
+						t.Errorf("the log does not say %q:\n%s", test.logged, out.String())
+					}
+					cancel()
+					time.Sleep(5 * time.Second)
+				})
+			})
+		}
+	}
+}
+
+// TestCordonsAfterLostHistory: a reader that was away while history was dropped notices the cordon that went, and keeps the one that stays
+// with its beginning.
+func TestCordonsAfterLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := jobtest.NewLog(1)
+		f := catalog.NewFollower(log.Client("e"), cordonFormat, zerolog.Nop())
+		go f.Run(ctx)
+		put(ctx, t, log, "cordon/a", "yes")
+		put(ctx, t, log, "cordon/b", "yes")
+		time.Sleep(time.Second)
+		before, _ := f.Cordons()
+		log.SetFault("e", jobtest.Fault{Refuse: true})
+		time.Sleep(time.Second)
+		put(ctx, t, log, "cordon/a", "")
+		log.Expire()
+		time.Sleep(time.Second)
+		log.Heal()
+		time.Sleep(time.Second)
+		after, _ := f.Cordons()
+		if after.Has("a") || !after.Has("b") {
+			t.Errorf("cordoned are %v, want only b", after)
+		}
+		if after["b"] != before["b"] {
+			t.Errorf("the cordon that stayed was %+v and is %+v", before["b"], after["b"])
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// put writes a record; an empty value drops its key.
+func put(ctx context.Context, t *testing.T, log *jobtest.Log, key, value string) {
+	t.Helper()
+	r := jobstore.Record{Key: key}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	if _, err := log.Client("o").Append(ctx, []jobstore.Record{r}, jobstore.Condition{}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,57 +15,121 @@
 // calls are turned away because a newer configuration may be in force.
 const readWait = 500 * time.Millisecond
 
-// Follower keeps the newest catalog of a keyed topic.
+// Follower keeps what operators have in force: the newest catalog, and the cordoned availability zones.
 type Follower struct {
 	tail   *jobstore.Tail
-	key    string
-	decode func([]byte) (*Catalog, error)
+	format Format
 	logger zerolog.Logger
 
 	mu      sync.Mutex
 	current *Catalog
+	cordons Cordons
 	proof   time.Time
 	changed chan struct{}
 }
 
-// NewFollower returns a follower of the records with the key.
-func NewFollower(log jobstore.Log, key string, decode func([]byte) (*Catalog, error), logger zerolog.Logger) *Follower {
-	return &Follower{tail: jobstore.NewTail(log, "configuration", readWait, logger), key: key, decode: decode, logger: logger, changed: make(chan struct{})}
+// NewFollower returns a follower of operators' records.
+func NewFollower(log jobstore.Log, format Format, logger zerolog.Logger) *Follower {
+	return &Follower{tail: jobstore.NewTail(log, "configuration", readWait, logger), format: format, logger: logger, changed: make(chan struct{})}
 }
 
-// Run follows the topic until ctx ends.
+// Run follows the records until ctx ends.
 func (f *Follower) Run(ctx context.Context) { f.tail.Run(ctx, f.take) }
 
-// take puts the newest version among the records in force.
+// take puts in force what the records say.
 func (f *Follower) take(n jobstore.News) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before, cordons := f.cordons, f.cordons
+	if n.Loaded {
+		cordons = f.stillThere(n.Records)
+	}
 	for _, r := range n.Records {
-		if r.Key != f.key || r.Value == nil {
-			continue
+		if r.Key == f.format.ConfigKey && r.Value != nil {
+			f.takeConfig(r)
 		}
-		c, err := f.decode(r.Value)
-		if err != nil {
-			f.logger.Error().Str("step", "catalog.decode").Err(err).Int64("offset", r.Offset).Msg("configuration is unreadable")
-			continue
+		if zone, ok := f.format.zoneOf(r.Key); ok {
+			cordons = f.takeCordon(cordons, zone, r, n.Loaded)
 		}
-		f.put(c)
 	}
+	f.cordons = cordons
+	f.announceCordons(before)
+	// The proof counts for what has been put in force above, so both are seen together.
 	if !n.Proof.IsZero() {
-		f.mu.Lock()
 		f.proof = n.Proof
-		f.mu.Unlock()
 	}
 }
 
-func (f *Follower) put(c *Catalog) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// stillThere returns the cordons of which there is a record among the newest of all keys: the others were taken away while
+// this process read nothing.
+func (f *Follower) stillThere(newest []jobstore.Stored) Cordons {
+	kept := Cordons{}
+	for _, r := range newest {
+		if zone, ok := f.format.zoneOf(r.Key); ok && f.cordons.Has(zone) {
+			kept = kept.With(f.cordons[zone])
+		}
+	}
+	return kept
+}
+
+// takeConfig puts a newer configuration in force. The lock must be held.
+func (f *Follower) takeConfig(r jobstore.Stored) {
+	c, err := f.format.Config(r.Value)
+	if err != nil {
+		f.logger.Error().Str("step", "catalog.decode").Err(err).Int64("offset", r.Offset).Msg("configuration is unreadable")
+		return
+	}
 	if f.current != nil && c.Version <= f.current.Version {
 		return
 	}
 	f.current = c
+	f.announce()
+	f.logger.Info().Str("step", "catalog.put").Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration in force")
+}
+
+// takeCordon returns the cordons as a record leaves them. An unreadable one changes nothing; but where it is the only one that is left
+// of its key, the zone counts as cordoned: nothing says that it was ever open.
+func (f *Follower) takeCordon(cordons Cordons, zone string, r jobstore.Stored, only bool) Cordons {
+	if r.Value == nil {
+		return cordons.Without(zone)
+	}
+	if err := f.format.CheckCordon(r.Value); err != nil {
+		f.logger.Error().Str("step", "catalog.cordon").Str("zone", zone).Err(err).Int64("offset", r.Offset).Msg("cordon is unreadable")
+		if !only {
+			return cordons
+		}
+	}
+	return cordons.With(Cordon{Zone: zone, Revision: r.Offset, Since: time.Now()})
+}
+
+// announceCordons tells of cordons that came or went. The lock must be held.
+func (f *Follower) announceCordons(before Cordons) {
+	changed := false
+	for zone, c := range f.cordons {
+		if before.Has(zone) {
+			continue
+		}
+		changed = true
+		f.logger.Info().Str("step", "catalog.cordon").Str("zone", zone).Int64("revision", c.Revision).Msg("zone is cordoned")
+		if len(f.format.Zones) > 0 && !slices.Contains(f.format.Zones, zone) {
+			f.logger.Warn().Str("step", "catalog.cordon").Str("zone", zone).Strs("zones", f.format.Zones).Msg("cordoned zone does not exist")
+		}
+	}
+	for zone, c := range before {
+		if !f.cordons.Has(zone) {
+			changed = true
+			f.logger.Info().Str("step", "catalog.cordon").Str("zone", zone).Dur("cordoned_ms", time.Since(c.Since)).Msg("zone is open again")
+		}
+	}
+	if changed {
+		f.announce()
+	}
+}
+
+// announce wakes those who wait for a change. The lock must be held.
+func (f *Follower) announce() {
 	close(f.changed)
 	f.changed = make(chan struct{})
-	f.logger.Info().Str("step", "catalog.put").Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration in force")
 }
 
 // Current returns the newest catalog, or nil if none has come, and when the newest read was sent that proved it so.
@@ -74,7 +139,14 @@
 	return f.current, f.proof
 }
 
-// Changed is closed when a newer catalog comes.
+// Cordons returns the cordoned zones, and when the newest read was sent that proved that there are no others: zero if none has.
+func (f *Follower) Cordons() (Cordons, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cordons, f.proof
+}
+
+// Changed is closed when a newer catalog comes, or when a zone is cordoned or open again.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -37,6 +37,9 @@
 // queues are the priorities that jobs are handed in with; prefix is that of a queue's path.
 const queues = 3
 
+// zoneOf is the availability zone of a worker: each rack is one.
+func zoneOf(worker int) string { return fmt.Sprintf("zone-%d", worker/rackSize) }
+
 func prefix(queue int) string { return fmt.Sprintf("/q%d/", queue) }
 
 // box is a process with the links around it.
@@ -175,7 +178,7 @@
 	ip := nextIP()
 	name := fmt.Sprintf("worker-%d", i)
 	room := job.Need{CPU: 16_000, Memory: 64_000, Accelerators: 8}
-	w := c.platform.Workers.Add(name, service, fmt.Sprintf("rack-%d", i/rackSize), room, "a")
+	w := c.platform.Workers.Add(name, service, zoneOf(i), fmt.Sprintf("rack-%d", i/rackSize), room, "a")
 	c.workers = append(c.workers, w)
 	served, err := c.serve(standin.Worker(w))
 	if err != nil {
--- a/cmd/yarrowgraded/jobagent.go
+++ b/cmd/yarrowgraded/jobagent.go
@@ -81,7 +81,7 @@
 	topic := jobstore.Metered(platform.NewStore(s, client).Topic(platform.DirectoryTopic), t.Metrics)
 	directory := jobstore.NewDirectory(topic, t.Log)
 	return directory, runner.New(
-		runner.Settings{Name: s.Node, Agent: uuid.NewString(), Lease: s.Hold(), Drift: workerDrift},
+		runner.Settings{Name: s.Node, Agent: uuid.NewString(), Lease: s.Hold(), Drift: workerDrift, Cordon: s.Cordon()},
 		runner.Parts{Worker: platform.NewWorker(s, client), Leader: runner.NewLeaderClient(directory, client), Logger: t.Log, Metrics: t.Metrics},
 	)
 }
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -103,7 +103,7 @@
 	e.directory = jobstore.NewDirectory(e.announced, t.Log)
 	jobs := topic(platform.JobsTopic)
 	e.replica = jobstore.NewReplica(jobs, e.directory.Size, t.Log)
-	e.catalog = catalog.NewFollower(topic(platform.OperatorTopic), platform.ConfigKey, platform.DecodeConfig, t.Log)
+	e.catalog = catalog.NewFollower(topic(platform.OperatorTopic), platform.OperatorFormat(s.ZoneNames()), t.Log)
 	// Reads are frequent: they know that the log is slow before the first append does.
 	latency := e.replica.Latency()
 	e.writer = jobstore.NewWriter(jobs, latency, e.replica, e.directory.Entries, address, client, t.Log)
--- /dev/null
+++ b/dispatch/cordon.go
@@ -0,0 +1,34 @@
+package dispatch
+
+// withdraw stops what was placed in an availability zone that has been cordoned since, and is not known to have begun: its agent
+// may hold it back until the zone is open again. A gang is withdrawn whole, or those of its members that have begun would wait for the
+// others in vain. What has begun goes on: see docs/design/shifted-work.md for the figures of stopping it instead.
+func (p *plan) withdraw() {
+	for _, n := range p.nodes {
+		if !n.closed {
+			continue
+		}
+		for _, r := range n.runs {
+			if r.begun() {
+				continue
+			}
+			for _, member := range p.withGang(r) {
+				p.stop(member, whyCordoned)
+			}
+		}
+	}
+}
+
+// begun reports whether the worker's agent has said that the run is there.
+func (r *running) begun() bool {
+	o, known := r.node.worker.runs[runID(r)]
+	return known && o.percent >= 0
+}
+
+// withGang returns a run with the others of its gang.
+func (p *plan) withGang(r *running) []*running {
+	if !r.tracked.job.Steps[r.name.Step].Gang {
+		return []*running{r}
+	}
+	return p.gangs[firstOf(r.name)]
+}
--- /dev/null
+++ b/dispatch/cordon_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+)
+
+// cordonable gives the fixture operators' records that a test can change; each rack is a zone of its name.
+func (b *fixture) cordonable() (cordon func(zone string, value []byte)) {
+	log := jobtest.NewLog(1)
+	follower := catalog.NewFollower(log.Client("c"), catalog.Format{
+		ConfigKey: "config",
+		Config: func([]byte) (*catalog.Catalog, error) {
+			return catalog.Catalog{Version: 1, Teams: []catalog.Team{{Name: "sure", Guaranteed: 16}}}.WithIndex(), nil
+		},
+		CordonedZone: func(key string) (string, bool) { return strings.CutPrefix(key, "cordon/") },
+		CheckCordon:  func([]byte) error { return nil },
+	}, zerolog.Nop())
+	go follower.Run(b.t.Context())
+	b.control.catalog = follower
+	for _, w := range b.control.workers {
+		w.life.Zone = w.life.Rack
+	}
+	return func(zone string, value []byte) {
+		changed := follower.Changed()
+		record := []jobstore.Record{{Key: "cordon/" + zone, Value: value}}
+		if _, err := log.Client("o").Append(b.t.Context(), record, jobstore.Condition{}); err != nil {
+			b.t.Fatal(err)
+		}
+		<-changed
+	}
+}
+
+// TestCordonedZone: nothing is placed in a cordoned zone, of whatever kind, and nothing waits for room there.
+func TestCordonedZone(t *testing.T) {
+	tests := []struct {
+		name     string
+		priority int
+		step     job.Step
+	}{
+		{"single tasks", 1, job.Step{Tasks: 4}},
+		{"gang in one rack", 1, job.Step{Tasks: 3, Gang: true, SameRack: true}},
+		{"urgent gang", 0, job.Step{Tasks: 3, Gang: true, SameRack: true}},
+		{"its data are there", 1, job.Step{Tasks: 1, DataRack: "r0"}},
+		{"gang whose data are there", 1, job.Step{Tasks: 2, Gang: true, DataRack: "r0"}},
+		{"bounded for each worker", 1, job.Step{Tasks: 3, PerWorker: 1}},
+		{"filling", 2, job.Step{Tasks: 2, Fills: true}},
+		{"lasting", 1, job.Step{Tasks: 2, Lasts: true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 2, 4)
+			cordon := b.cordonable()
+			cordon("r0", []byte("{}"))
+			tracked := b.job(test.priority, "sure", test.step)
+			b.plan(10 * time.Millisecond)
+			if at := racksOf(b.at(tracked)); at["w1"] != test.step.Tasks {
+				t.Errorf("placed at %v, want all in w1 at once", at)
+			}
+		})
+	}
+}
+
+// TestCordonedStops: for an urgent job work is stopped only where it can start, and what runs in a cordoned zone goes on.
+func TestCordonedStops(t *testing.T) {
+	b := newFixture(t, 2, 2)
+	cordon := b.cordonable()
+	long := b.job(2, "other", job.Step{Tasks: 4, Estimate: time.Minute})
+	b.plan(10 * time.Millisecond)
+	b.observe(long, b.now, 0)
+	cordon("r0", []byte("{}"))
+	urgent := b.job(0, "sure", job.Step{Tasks: 1, Estimate: time.Second})
+	b.plan(2 * time.Second)
+	if len(long.stopping) != 1 {
+		t.Fatalf("%d runs are told to stop, want 1", len(long.stopping))
+	}
+	for name := range long.stopping {
+		if w := long.progress.Task(name).Worker; strings.HasPrefix(w, "w0-") {
+			t.Errorf("a run on %s is told to stop, where nothing can start", w)
+		}
+	}
+	b.finish(long, job.EndStopped)
+	b.plan(time.Second)
+	if at := racksOf(b.at(urgent)); at["w1"] != 1 {
+		t.Errorf("the urgent job is at %v", at)
+	}
+}
+
+// TestCordonWithdraws: what was placed and has not begun when its zone is cordoned is withdrawn, a gang as a whole, and starts elsewhere.
+func TestCordonWithdraws(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		b := newFixture(t, 2, 2)
+		cordon := b.cordonable()
+		tracked := b.job(1, "other", job.Step{Tasks: 2, Gang: gang, SameRack: gang})
+		b.plan(10 * time.Millisecond)
+		placed := b.at(tracked)
+		// The first has begun, the second not.
+		first := job.TaskName{Job: tracked.job.ID}
+		b.control.workers[placed[0]].runs[assignment.RunID{Task: first, Run: 1}] = observed{percent: 3, since: b.now, advanced: b.now, baseAt: b.now}
+		zone := b.control.workers[placed[0]].life.Zone
+		cordon(zone, []byte("{}"))
+		b.plan(10 * time.Millisecond)
+		want := 1
+		if gang {
+			want = 2
+		}
+		if len(tracked.stopping) != want {
+			t.Errorf("gang %v: %d runs are withdrawn, want %d", gang, len(tracked.stopping), want)
+		}
+		for name, run := range tracked.stopping {
+			task := tracked.progress.Task(name)
+			b.control.endTask(tracked, task.Life, assignment.End{RunID: assignment.RunID{Task: name, Run: run}, How: job.EndRefused})
+		}
+		b.plan(10 * time.Millisecond)
+		for i, name := range b.at(tracked) {
+			if begun := i == 0 && !gang; !begun && b.control.workers[name].life.Zone == zone {
+				t.Errorf("gang %v: task %d is in the cordoned zone again", gang, i)
+			}
+		}
+	}
+}
+
+// TestCordonEverywhere: with all zones cordoned everything waits, and work returns once one is open.
+func TestCordonEverywhere(t *testing.T) {
+	b := newFixture(t, 2, 2)
+	cordon := b.cordonable()
+	cordon("r0", []byte("{}"))
+	cordon("r1", []byte("{}"))
+	tracked := b.job(0, "sure", job.Step{Tasks: 2, Gang: true, SameRack: true})
+	b.plan(10 * time.Millisecond)
+	if at := b.at(tracked); len(at) != 0 {
+		t.Errorf("placed at %v", at)
+	}
+	cordon("r1", nil)
+	b.plan(10 * time.Millisecond)
+	if at := b.at(tracked); len(at) != 2 {
+		t.Errorf("placed at %v once a zone is open", at)
+	}
+}
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -29,10 +29,10 @@
 
 func newFixture(t testing.TB, racks, perRack int) *fixture {
 	log := jobtest.NewLog(1)
-	follower := catalog.NewFollower(log.Client("c"), "config", func([]byte) (*catalog.Catalog, error) {
+	follower := catalog.NewFollower(log.Client("c"), catalog.Format{ConfigKey: "config", Config: func([]byte) (*catalog.Catalog, error) {
 		c := catalog.Catalog{Version: 1, Teams: []catalog.Team{{Name: "sure", Guaranteed: 16}, {Name: "other"}}}
 		return c.WithIndex(), nil
-	}, zerolog.Nop())
+	}}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if _, err := log.Client("o").Append(ctx, []jobstore.Record{{Key: "config", Value: []byte("1")}}, jobstore.Condition{}); err != nil {
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -126,7 +126,7 @@
 	for _, r := range p.racks {
 		var usable []*node
 		for _, n := range r.nodes {
-			if n.life.Service != service {
+			if n.life.Service != service || n.closed {
 				continue
 			}
 			total += n.life.Room.Accelerators
--- a/dispatch/losses.go
+++ b/dispatch/losses.go
@@ -14,6 +14,7 @@
 	lossYielded lossCause = "yielded"
 	lossStalled lossCause = "stalled"
 	lossMoved   lossCause = "worker_leaves"
+	lossCordon  lossCause = "zone_cordoned"
 	lossFailed  lossCause = "failed"
 	lossWorker  lossCause = "worker_lost"
 	lossLapsed  lossCause = "lease_lapsed"
@@ -23,7 +24,7 @@
 )
 
 func lossCauses() []lossCause {
-	return []lossCause{lossYielded, lossStalled, lossMoved, lossFailed, lossWorker, lossLapsed, lossAlone, lossBroken, lossCancel}
+	return []lossCause{lossYielded, lossStalled, lossMoved, lossCordon, lossFailed, lossWorker, lossLapsed, lossAlone, lossBroken, lossCancel}
 }
 
 // stopCause is the cause under which a stop's losses count.
@@ -33,6 +34,8 @@
 		return lossYielded
 	case stopStall:
 		return lossStalled
+	case stopCordoned:
+		return lossCordon
 	}
 	return lossMoved
 }
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -20,8 +20,11 @@
 	scope   tally.Scope
 	workers tally.Gauge
 	free    tally.Gauge
-	waiting map[string]tally.Gauge
-	held    map[string]tally.Gauge
+	// cordoned is how many availability zones are cordoned, left how many runs go on there.
+	cordoned tally.Gauge
+	left     tally.Gauge
+	waiting  map[string]tally.Gauge
+	held     map[string]tally.Gauge
 }
 
 // Labels of what is counted. Stops and losses are counted by the first words of why.
@@ -29,10 +32,12 @@
 	stopYields   = "yields"
 	stopStall    = "stalled"
 	stopLeaves   = "worker_leaves"
+	stopCordoned = "zone_cordoned"
 	lossLease    = "lease_over"
 	lossLife     = "life_over"
 	whyYields    = "it yields to "
 	whyStalled   = "it stands still"
+	whyCordoned  = "its zone is cordoned and it has not begun"
 	whyLeaseOver = "its lease is over"
 	whyLifeOver  = "its life is over"
 )
@@ -42,10 +47,11 @@
 	m := &Metrics{
 		ends: telemetry.NewCounters(scope, "runs_ended", "how", job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken,
 			job.EndAlone, job.EndLost, job.EndRefused),
-		stops:    telemetry.NewCounters(scope, "runs_stopped", "why", stopYields, stopStall, stopLeaves),
+		stops:    telemetry.NewCounters(scope, "runs_stopped", "why", stopYields, stopStall, stopLeaves, stopCordoned),
 		losses:   telemetry.NewCounters(scope, "runs_lost", "why", lossLease, lossLife),
 		lostWork: telemetry.NewCounters(scope, "work_lost_core_s", "cause", lossCauses()...),
 		scope:    scope, workers: scope.Gauge("workers"), free: scope.Gauge("accelerators_free"),
+		cordoned: scope.Gauge("zones_cordoned"), left: scope.Gauge("runs_in_cordoned_zones"),
 		waiting: map[string]tally.Gauge{}, held: map[string]tally.Gauge{},
 	}
 	// Jobs of open queues have no team.
@@ -67,6 +73,8 @@
 		return stopYields
 	case why == whyStalled:
 		return stopStall
+	case why == whyCordoned:
+		return stopCordoned
 	}
 	return stopLeaves
 }
@@ -85,11 +93,16 @@
 
 // observe notes the room and, by team, what waits and what is held.
 func (m *Metrics) observe(c *Controller) {
-	free, workers := 0, 0
+	free, workers, left := 0, 0, 0
+	cordons, _ := c.catalog.Cordons()
 	for _, w := range c.workers {
-		if w.life != nil {
-			workers++
-			free += w.life.Room.Accelerators
+		if w.life == nil {
+			continue
+		}
+		workers++
+		free += w.life.Room.Accelerators
+		if cordons.Has(w.life.Zone) {
+			left += len(w.runs)
 		}
 	}
 	waiting, held := map[string]int{}, map[string]int{}
@@ -104,6 +117,8 @@
 	}
 	m.workers.Update(float64(workers))
 	m.free.Update(float64(free))
+	m.cordoned.Update(float64(len(cordons)))
+	m.left.Update(float64(left))
 	m.byTeam(m.waiting, waitingName, waiting)
 	m.byTeam(m.held, heldName, held)
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -34,6 +34,8 @@
 	// heldUntil is until when the room is free for short work only, because a gang waits for it.
 	heldUntil time.Time
 	usable    bool
+	// closed says that operators have cordoned the worker's availability zone.
+	closed bool
 	// fits is how many tasks fit of the unit that is looked for.
 	fits int
 }
@@ -108,6 +110,7 @@
 	p.addNodes()
 	p.addRuns()
 	p.guaranteed = p.guaranteedJobs()
+	p.withdraw()
 	if c.has(MoveStalled) {
 		p.moveStalled()
 	}
@@ -122,13 +125,15 @@
 
 // addNodes lists the workers.
 func (p *plan) addNodes() {
+	cordons, _ := p.c.catalog.Cordons()
 	for _, w := range p.c.workers {
 		if w.life == nil {
 			continue
 		}
 		n := &node{worker: w, free: w.life.Room, later: w.life.Room}
 		silent := w.silent || p.now.Sub(w.heard) > p.c.settings.Silent
-		n.usable = !silent && !w.life.Leaving && !w.health.quarantined(p.now)
+		n.closed = cordons.Has(w.life.Zone)
+		n.usable = !silent && !w.life.Leaving && !n.closed && !w.health.quarantined(p.now)
 		p.nodes = append(p.nodes, n)
 		p.byName[w.name] = n
 	}
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -43,7 +43,7 @@
 	if w.step.DataRack != "" {
 		var near []*node
 		if r := p.racks[w.step.DataRack]; r != nil {
-			near = r.nodes
+			near = open(r.nodes)
 		}
 		waited := p.now.Sub(w.tracked.job.Accepted)
 		if len(near) > 0 && (!w.step.Gang || p.canEverFit(w, near)) && p.c.has(DataPatience) && waited < time.Duration(dataPatience*float64(w.step.Estimate)) {
@@ -73,6 +73,14 @@
 	return domains
 }
 
+// open returns those of the nodes whose zone is not cordoned: nothing waits for the others.
+func open(nodes []*node) []*node {
+	if !slices.ContainsFunc(nodes, func(n *node) bool { return n.closed }) {
+		return nodes
+	}
+	return slices.DeleteFunc(slices.Clone(nodes), func(n *node) bool { return n.closed })
+}
+
 // compareEnds orders two racks for a unit that may have to yield: what can't save its work fills the racks from the first on, what can
 // from the last on. Urgent jobs that need a rack then find some in which stopping all loses next to nothing: with this order below that of speeds,
 // so that both kinds shared racks, half as much work again was lost on 240 workers (0.167 of a day instead of 0.115, two days). Urgent units
@@ -91,7 +99,7 @@
 func (p *plan) canEverFit(w waiting, nodes []*node) bool {
 	left := len(w.unit.Tasks)
 	for _, n := range nodes {
-		if !n.life.Leaving && allowed(w, n) {
+		if !n.life.Leaving && !n.closed && allowed(w, n) {
 			left -= count(w.step.Reserved(), n.life.Room, bound(w, n))
 		}
 	}
--- /dev/null
+++ b/jobtest/cordon_test.go
@@ -0,0 +1,179 @@
+package jobtest_test
+
+import (
+	"testing"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+)
+
+// keepBusy hands in small jobs for a while, so that something new starts at any time while jobs are taken.
+func (s *system) keepBusy(length time.Duration) {
+	for began := time.Now(); time.Since(began) < length; time.Sleep(150 * time.Millisecond) {
+		s.submitAside(s.simpleJob(7, time.Second))
+	}
+}
+
+// submitAside hands a job in without waiting for the answer.
+func (s *system) submitAside(j *job.Job) {
+	s.workers.Expect(j)
+	at := s.entries[s.number%entryCount].admission
+	go func() {
+		a, err := at.Admit(host, "/q1/"+string(j.ID), "key")
+		if err == nil {
+			copied := *j
+			// Whether it is taken plays no part: only where something starts does.
+			_ = at.Submit(s.ctx, a, &copied)
+		}
+	}()
+}
+
+// heldRead is longer than a read of operators' records is held: what strikes the store so long before a record hides it.
+const heldRead = 600 * time.Millisecond
+
+// TestCordon: whatever strikes from the moment on at which operators are told that a zone is cordoned, nothing starts there any more
+// once the bound is over, and after the cordon is taken away work returns. The stand-in workers check the bound.
+func TestCordon(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(s *system, leader *process)
+		// ahead is how long before the cordon it strikes, heal how long after the cordon all is healed.
+		ahead, heal time.Duration
+	}{
+		{"calm", func(*system, *process) {}, 0, 0},
+		{"leader frozen", func(s *system, e *process) { s.network.Freeze("http://" + e.name) }, 0, 4 * time.Second},
+		{"leader killed", func(s *system, e *process) { s.network.Kill("http://" + e.name); e.cancel() }, 0, 0},
+		{"leader cut off from the store", func(s *system, e *process) { s.setFault(e.name, jobtest.Fault{Silent: true}) }, heldRead, 9 * time.Second},
+		{"operators' records silent for all", func(s *system, _ *process) {
+			s.config.SetFault("", jobtest.Fault{Silent: true})
+			s.config.SetFault("operator", jobtest.Fault{})
+		}, heldRead, 12 * time.Second},
+		{"operators' records refused for all", func(s *system, _ *process) {
+			s.config.SetFault("", jobtest.Fault{Refuse: true})
+			s.config.SetFault("operator", jobtest.Fault{})
+		}, heldRead, 12 * time.Second},
+		{"store slow", func(s *system, _ *process) { s.setFault("", jobtest.Fault{Delay: 600 * time.Millisecond}) }, heldRead, 9 * time.Second},
+		{"store silent", func(s *system, _ *process) { s.setFault("", jobtest.Fault{Silent: true}) }, heldRead, 9 * time.Second},
+		{"agents cut off from the leader", func(s *system, e *process) {
+			for _, p := range s.agents {
+				s.network.Cut("http://"+p.name, "http://"+e.name, true)
+			}
+		}, 0, 6 * time.Second},
+		{"history gone", func(s *system, e *process) { s.setFault(e.name, jobtest.Fault{Refuse: true}); s.config.Expire() }, heldRead, 4 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			within(t, func(t *testing.T, s *system) {
+				s.workers.Work = time.Second
+				s.submit(s.simpleJob(900, time.Second), 1)
+				s.keepBusy(3 * time.Second)
+				if s.workers.StartsIn("zone-1") == 0 {
+					t.Error("nothing started in the zone before it is cordoned: the test proves nothing")
+				}
+				test.strike(s, s.leader())
+				time.Sleep(test.ahead)
+				s.cordon("zone-1")
+				time.AfterFunc(test.heal, func() {
+					s.network.Heal()
+					s.log.Heal()
+					s.config.Heal()
+				})
+				open := s.workers.StartsIn("zone-0")
+				s.keepBusy(15 * time.Second)
+				if n := s.workers.RunningIn("zone-1"); n > 0 {
+					t.Errorf("%d tasks of a second run in the zone 15 s after it was cordoned", n)
+				}
+				if s.workers.StartsIn("zone-0") == open {
+					t.Error("nothing started in the open zone")
+				}
+				closed := s.workers.StartsIn("zone-1")
+				s.uncordon("zone-1")
+				s.keepBusy(4 * time.Second)
+				if s.workers.StartsIn("zone-1") == closed {
+					t.Error("nothing started in the zone 4 s after the cordon was taken away")
+				}
+			})
+		})
+	}
+}
+
+// TestCordonOrderInHand: an agent that has an order, and whose worker and leader it does not reach from then on, does not carry it out
+// once the zone is cordoned for so long, although its lease would still allow it.
+func TestCordonOrderInHand(t *testing.T) {
+	within(t, func(t *testing.T, s *system) {
+		for _, w := range s.worker {
+			w.SetUnreachable(true)
+		}
+		j := s.simpleJob(12, time.Second)
+		s.submit(j, 1)
+		time.Sleep(200 * time.Millisecond)
+		for _, a := range s.agents {
+			for _, e := range s.entries {
+				s.network.Cut("http://"+a.name, "http://"+e.name, true)
+			}
+		}
+		// Polls that were held at the cut are answered yet.
+		time.Sleep(600 * time.Millisecond)
+		s.cordon("zone-0")
+		s.cordon("zone-1")
+		time.Sleep(jobtest.CordonBound + 100*time.Millisecond)
+		for _, w := range s.worker {
+			w.SetUnreachable(false)
+		}
+		time.Sleep(2 * time.Second)
+		if s.workers.Starts > 0 {
+			t.Errorf("%d runs started", s.workers.Starts)
+		}
+		s.uncordon("zone-0")
+		s.uncordon("zone-1")
+		s.network.Heal()
+		s.completed(j.ID, 20*time.Second)
+	})
+}
+
+// TestCordonTakenAway: a cordon that is taken away and put back within a second holds, one that went while the history was lost is
+// noticed, and with all zones cordoned everything waits and nothing is lost.
+func TestCordonTakenAway(t *testing.T) {
+	within(t, func(t *testing.T, s *system) {
+		s.cordon("zone-1")
+		s.uncordon("zone-1")
+		time.Sleep(300 * time.Millisecond)
+		s.cordon("zone-1")
+		s.cordon("zone-0")
+		time.Sleep(jobtest.CordonBound)
+		j := s.simpleJob(2, time.Second)
+		s.submit(j, 1)
+		time.Sleep(5 * time.Second)
+		if s.workers.Starts > 0 {
+			t.Errorf("%d runs started with all zones cordoned", s.workers.Starts)
+		}
+		s.setFault("", jobtest.Fault{Refuse: true})
+		s.uncordon("zone-0")
+		s.config.Expire()
+		time.Sleep(time.Second)
+		s.setFault("", jobtest.Fault{})
+		s.completed(j.ID, 10*time.Second)
+		if s.workers.RunningIn("zone-1") > 0 {
+			t.Error("the zone that is still cordoned got work")
+		}
+	})
+}
+
+// TestCordonSurvivesRestart: after a loss of power of everything the cordon still holds.
+func TestCordonSurvivesRestart(t *testing.T) {
+	within(t, func(t *testing.T, s *system) {
+		s.cordon("zone-0")
+		s.cordon("zone-1")
+		s.loseAll()
+		j := s.simpleJob(2, time.Second)
+		time.Sleep(2 * time.Second)
+		s.submit(j, 1)
+		time.Sleep(8 * time.Second)
+		if s.workers.Starts > 0 {
+			t.Errorf("%d runs started with all zones cordoned", s.workers.Starts)
+		}
+		s.uncordon("zone-0")
+		s.completed(j.ID, 10*time.Second)
+	})
+}
--- a/jobtest/orders.go
+++ b/jobtest/orders.go
@@ -30,7 +30,9 @@
 			w.all.mu.Lock()
 			defer w.all.mu.Unlock()
 			if w.up {
+				w.late = true
 				_ = w.carryOut(o, carry)
+				w.late = false
 			}
 		})
 		w.all.mu.Unlock()
@@ -89,6 +91,7 @@
 	}
 	w.runs[s.Task] = r
 	w.all.Starts++
+	w.all.startsIn[w.life.Zone]++
 	w.all.begun[s.Task.Job] = true
 	return nil
 }
--- a/jobtest/recovery_test.go
+++ b/jobtest/recovery_test.go
@@ -157,6 +157,24 @@
 	}
 }
 
+// loseAll takes the power of all processes and workers for a second.
+func (s *system) loseAll() {
+	for _, p := range append(slices.Clone(s.entries), s.agents...) {
+		s.network.Kill("http://" + p.name)
+		p.cancel()
+	}
+	for _, w := range s.worker {
+		w.Crash(900 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	for i := range s.entries {
+		s.startEntry(i)
+	}
+	for i := range s.agents {
+		s.startAgent(i)
+	}
+}
+
 // TestPowerLoss: when all processes start again at once after a loss of power, one of them decides within 0.3 s, and what
 // was accepted before goes on.
 func TestPowerLoss(t *testing.T) {
@@ -166,20 +184,7 @@
 		s.submit(j, 1)
 		time.Sleep(500 * time.Millisecond)
 		lost := s.leader().life
-		for _, p := range append(slices.Clone(s.entries), s.agents...) {
-			s.network.Kill("http://" + p.name)
-			p.cancel()
-		}
-		for _, w := range s.worker {
-			w.Crash(900 * time.Millisecond)
-		}
-		time.Sleep(time.Second)
-		for i := range s.entries {
-			s.startEntry(i)
-		}
-		for i := range s.agents {
-			s.startAgent(i)
-		}
+		s.loseAll()
 		time.Sleep(300 * time.Millisecond)
 		if leader, _, _ := s.entries[0].replica.Leader(); leader.Term != 2 || lost != 1 {
 			t.Errorf("0.3 s after the start the leader is %+v, want one of term 2", leader)
--- a/jobtest/rules.go
+++ b/jobtest/rules.go
@@ -41,6 +41,7 @@
 		ws.breaks("ROUTE: %v starts on %s, which serves %q", s.Task, w.name, w.life.Service)
 	}
 	ws.checkBound(w, s, step)
+	ws.checkCordon(w, s)
 	if j.Attempts > 0 && len(ws.failures[s.Task]) >= j.Attempts && !step.Lasts {
 		ws.breaks("BUDGET: %v run %d starts after %d failures", s.Task, s.Run, len(ws.failures[s.Task]))
 	}
@@ -64,6 +65,33 @@
 	}
 }
 
+// CordonBound is how long after operators were told that a zone is cordoned something may still start there.
+const CordonBound = 5 * time.Second
+
+// Cordon notes that operators were told that a zone is cordoned, Uncordon that it is open again.
+func (ws *Workers) Cordon(zone string) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	if _, ok := ws.cordoned[zone]; !ok {
+		ws.cordoned[zone] = time.Now()
+	}
+}
+
+// Uncordon is the reverse of Cordon.
+func (ws *Workers) Uncordon(zone string) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	delete(ws.cordoned, zone)
+}
+
+// checkCordon looks at a start in a zone that may be cordoned. An order that the worker carries out late is nobody's fault.
+func (ws *Workers) checkCordon(w *Worker, s assignment.Start) {
+	at, ok := ws.cordoned[w.life.Zone]
+	if since := time.Since(at); ok && since > CordonBound && !w.late {
+		ws.breaks("EVAC: %v run %d starts on %s %v after its zone was cordoned", s.Task, s.Run, w.name, since)
+	}
+}
+
 // acknowledge notes that the scheduler has taken note of an end. The lock must be held.
 func (ws *Workers) acknowledge(e assignment.End) {
 	switch e.How {
@@ -119,6 +147,26 @@
 	return n
 }
 
+// StartsIn counts what was started in a zone.
+func (ws *Workers) StartsIn(zone string) int {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return ws.startsIn[zone]
+}
+
+// RunningIn counts the tasks that run in a zone.
+func (ws *Workers) RunningIn(zone string) int {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	n := 0
+	for _, w := range ws.workers {
+		if w.up && w.life.Zone == zone {
+			n += len(w.runs)
+		}
+	}
+	return n
+}
+
 // Runs reports whether a task of a job runs on the worker.
 func (w *Worker) Runs(id job.ID) bool {
 	w.all.mu.Lock()
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,7 +104,7 @@
 	}
 	for i := range workerCount {
 		room := job.Need{CPU: 16_000, Memory: 64_000, Accelerators: 8}
-		w := s.workers.Add(fmt.Sprintf("worker-%d", i), service, fmt.Sprintf("rack-%d", i/rackSize), room, "a")
+		w := s.workers.Add(fmt.Sprintf("worker-%d", i), service, zoneOf(i), fmt.Sprintf("rack-%d", i/rackSize), room, "a")
 		s.worker = append(s.worker, w)
 		s.agents = append(s.agents, &process{name: fmt.Sprintf("worker-%d", i)})
 	}
@@ -123,6 +124,45 @@
 	return s
 }
 
+// zoneOf is the availability zone of a worker: each rack is one.
+func zoneOf(worker int) string { return fmt.Sprintf("zone-%d", worker/rackSize) }
+
+// cordonPrefix begins the keys of records that cordon a zone.
+const cordonPrefix = "cordon/"
+
+// operatorFormat reads operators' records in the test.
+var operatorFormat = catalog.Format{
+	ConfigKey: "config", Config: decodeCatalog,
+	CordonedZone: func(key string) (string, bool) { return strings.CutPrefix(key, cordonPrefix) },
+	CheckCordon:  func([]byte) error { return nil },
+}
+
+// cordon cordons a zone, as operators do: it counts from when the log has answered.
+func (s *system) cordon(zone string) {
+	s.putCordon(zone, []byte("{}"))
+	s.workers.Cordon(zone)
+}
+
+// uncordon takes a cordon away. From the moment when the record is written nothing is judged by it.
+func (s *system) uncordon(zone string) {
+	s.workers.Uncordon(zone)
+	s.putCordon(zone, nil)
+}
+
+func (s *system) putCordon(zone string, value []byte) {
+	record := []jobstore.Record{{Key: cordonPrefix + zone, Value: value}}
+	if _, err := s.config.Client("operator").Append(s.ctx, record, jobstore.Condition{}); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// setFault sets how the store treats a process, or all of them.
+func (s *system) setFault(name string, f jobtest.Fault) {
+	s.log.SetFault(name, f)
+	s.config.SetFault(name, f)
+	s.config.SetFault("operator", jobtest.Fault{})
+}
+
 // decodeCatalog is the configuration of the test: three queues with priorities 0 to 2, and a team for each key.
 func decodeCatalog([]byte) (*catalog.Catalog, error) {
 	c := catalog.Catalog{Version: 1, Teams: []catalog.Team{{Name: "team", Keys: []string{"key"}, Guaranteed: 16}}}
@@ -144,7 +184,7 @@
 	logger := s.logger.With().Str("entry", p.name).Logger()
 	replica := jobstore.NewReplica(log, func() int { return s.readers }, logger)
 	p.replica = replica
-	follower := catalog.NewFollower(s.config.Client(p.name), "config", decodeCatalog, logger)
+	follower := catalog.NewFollower(s.config.Client(p.name), operatorFormat, logger)
 	directory := jobstore.NewDirectory(announced, zerolog.Nop())
 	latency := replica.Latency()
 	writer := jobstore.NewWriter(log, latency, replica, directory.Entries, p.name, client, logger)
@@ -175,7 +215,7 @@
 	directory := jobstore.NewDirectory(s.directory.Client(p.name), zerolog.Nop())
 	s.network.Attach("http://"+p.name, http.NotFoundHandler())
 	p.runner = runner.New(
-		runner.Settings{Name: p.name, Agent: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Drift: 0.03},
+		runner.Settings{Name: p.name, Agent: fmt.Sprintf("%s/%d", p.name, p.life), Lease: lease, Drift: 0.03, Cordon: jobtest.CordonBound},
 		runner.Parts{Worker: s.worker[i], Leader: runner.NewLeaderClient(directory, client), Logger: s.logger.With().Str("agent", p.name).Logger(), Metrics: tally.NoopScope},
 	)
 	go directory.Run(ctx)
@@ -293,17 +333,17 @@
 	faults := []jobtest.Fault{{Silent: true}, {Refuse: true}, {Reset: true}, {Delay: 250 * time.Millisecond}, {Lost: 0.4}, {Lost: 0.4, Late: true}}
 	fault := faults[r.IntN(len(faults))]
 	after := func(f func()) { time.AfterFunc(length, f) }
-	switch r.IntN(13) {
+	switch r.IntN(15) {
 	case 0:
 		s.restart(entry, func() { s.startEntry(e) }, length/3)
 	case 1:
 		s.restart(agent, func() { s.startAgent(a) }, length/3)
 	case 2:
-		s.log.SetFault(entry.name, fault)
-		after(func() { s.log.SetFault(entry.name, jobtest.Fault{}) })
+		s.setFault(entry.name, fault)
+		after(func() { s.setFault(entry.name, jobtest.Fault{}) })
 	case 3:
-		s.log.SetFault("", fault)
-		after(func() { s.log.SetFault("", jobtest.Fault{}) })
+		s.setFault("", fault)
+		after(func() { s.setFault("", jobtest.Fault{}) })
 	case 4:
 		for _, p := range s.entries {
 			s.network.Cut("http://"+agent.name, "http://"+p.name, true)
@@ -329,12 +369,17 @@
 		after(func() { s.network.Thaw("http://" + entry.name) })
 	case 11:
 		s.log.Expire()
+		s.config.Expire()
 	case 12:
 		// An entry that nobody reaches, and that reaches the log: for long.
 		for _, p := range append(slices.Clone(s.agents), s.entries...) {
 			s.network.Cut("http://"+p.name, "http://"+entry.name, true)
 			time.AfterFunc(3*length, func() { s.network.Cut("http://"+p.name, "http://"+entry.name, false) })
 		}
+	case 13, 14:
+		zone := zoneOf(a)
+		s.cordon(zone)
+		time.AfterFunc(3*length, func() { s.uncordon(zone) })
 	}
 }
 
@@ -355,6 +400,7 @@
 	time.Sleep(7 * time.Second)
 	s.network.Heal()
 	s.log.Heal()
+	s.config.Heal()
 	for _, w := range s.worker {
 		w.Heal()
 	}
--- a/jobtest/workers.go
+++ b/jobtest/workers.go
@@ -46,6 +46,10 @@
 	// Starts counts what was started; begun holds the jobs of which anything ever was.
 	Starts int
 	begun  map[job.ID]bool
+	// cordoned is when operators were told that a zone is cordoned, for those that are.
+	cordoned map[string]time.Time
+	// startsIn counts what was started in each zone.
+	startsIn map[string]int
 }
 
 // NewWorkers returns no workers yet.
@@ -53,7 +57,7 @@
 	return &Workers{
 		random: rand.New(rand.NewPCG(seed, 1)), started: time.Now(), jobs: map[job.ID]*job.Job{}, workers: map[string]*Worker{},
 		done: map[job.TaskName]bool{}, acked: map[job.TaskName]bool{}, failures: map[job.TaskName]map[int]bool{},
-		begun: map[job.ID]bool{},
+		begun: map[job.ID]bool{}, cordoned: map[string]time.Time{}, startsIn: map[string]int{},
 	}
 }
 
@@ -80,8 +84,9 @@
 	up   bool
 	// unreachable loses what the agent sends, and the worker runs on.
 	unreachable bool
-	// lateShare of the orders get no answer and are carried out later.
+	// lateShare of the orders get no answer and are carried out later; late says that this happens now.
 	lateShare float64
+	late      bool
 	fence     int64
 	until     int64
 	runs      map[job.TaskName]*run
@@ -130,10 +135,10 @@
 	r.lostUntil = now
 }
 
-// Add adds a worker and its first life.
-func (ws *Workers) Add(name, service, rack string, room job.Need, labels ...string) *Worker {
+// Add adds a worker of an availability zone, and its first life.
+func (ws *Workers) Add(name, service, zone, rack string, room job.Need, labels ...string) *Worker {
 	w := &Worker{all: ws, name: name}
-	w.life = assignment.Life{Service: service, Zone: "zone", Rack: rack, Labels: append(labels, rack), Room: room}
+	w.life = assignment.Life{Service: service, Zone: zone, Rack: rack, Labels: append(labels, rack), Room: room}
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
 	ws.workers[name] = w
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -120,7 +120,7 @@
 
 // New returns a candidate. Run starts it.
 func New(s Settings, p Parts) *Candidate {
-	return &Candidate{settings: s, parts: p, metrics: newMetrics(p.Metrics), leases: newLeases(s.Timing), resign: make(chan struct{})}
+	return &Candidate{settings: s, parts: p, metrics: newMetrics(p.Metrics), leases: newLeases(s.Timing, p.Catalog.Cordons), resign: make(chan struct{})}
 }
 
 // Resign ends leadership, if this entry leads, and never claims it again.
--- a/leader/leases.go
+++ b/leader/leases.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
 )
 
@@ -37,7 +38,9 @@
 // news; they change nothing else.
 type leases struct {
 	timing Timing
-	news   chan struct{}
+	// cordons returns what operators have cordoned, and the time of the proof that there is nothing else.
+	cordons func() (catalog.Cordons, time.Time)
+	news    chan struct{}
 
 	mu sync.Mutex
 	// term is that in which this entry leads; zero if it does not.
@@ -52,8 +55,8 @@
 	published chan struct{}
 }
 
-func newLeases(timing Timing) *leases {
-	return &leases{timing: timing, news: make(chan struct{}, 1), published: make(chan struct{})}
+func newLeases(timing Timing, cordons func() (catalog.Cordons, time.Time)) *leases {
+	return &leases{timing: timing, cordons: cordons, news: make(chan struct{}, 1), published: make(chan struct{})}
 }
 
 // open begins a term.
@@ -215,6 +218,9 @@
 	if lease > 0 {
 		p.granted = now
 	}
+	if poll.Life != nil {
+		a.Open, a.OpenMillis = l.openZone(poll.Life.Zone, now)
+	}
 	if !poll.Listed || poll.Life == nil {
 		// The agent needs its fence before it can list anything.
 		return a, !poll.Listed && poll.Life != nil, l.published, true
@@ -228,6 +234,16 @@
 	return a, urgent, l.published, true
 }
 
+// openZone reports whether a zone is not cordoned, and how old the proof of that is in milliseconds, rounded up. It asks at the moment of
+// the answer, not of the last decision: a leader that stands still in a decision says nothing that it has not read.
+func (l *leases) openZone(zone string, now time.Time) (open bool, age int64) {
+	cordons, proof := l.cordons()
+	if proof.IsZero() || cordons.Has(zone) {
+		return false, 0
+	}
+	return true, now.Sub(proof).Milliseconds() + 1
+}
+
 // compare puts into the answer what has to be started and stopped so that what runs is what is wanted.
 func (p *agentLease) compare(poll assignment.Poll, a *assignment.Answer) {
 	have := make(map[assignment.RunID]bool, len(poll.Runs)+len(poll.Ends)+len(poll.Refused))
--- a/leader/leases_test.go
+++ b/leader/leases_test.go
@@ -6,14 +6,22 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
 	"yarrowgrade.example/yarrowgrade/job"
 )
 
+// cordons are what operators have cordoned, as the leader knows, and cordonsProof is when that was proved.
+var (
+	cordons      catalog.Cordons
+	cordonsProof time.Time
+)
+
 // withLeases runs a test with open leases, in a bubble.
 func withLeases(t *testing.T, f func(t *testing.T, l *leases)) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newLeases(DefaultTiming(6 * time.Second))
+		l := newLeases(DefaultTiming(6*time.Second), func() (catalog.Cordons, time.Time) { return cordons, cordonsProof })
+		cordons, cordonsProof = nil, time.Now()
 		l.open(3, time.Now())
 		f(t, l)
 	})
@@ -190,3 +198,43 @@
 		}
 	})
 }
+
+// TestLeasesOpen: an answer says that the worker's zone is open only while no cordon of it is known, and how old the proof is at the
+// moment of the answer, whatever was decided before.
+func TestLeasesOpen(t *testing.T) {
+	const zone = "zone-1"
+	inZone := life
+	inZone.Zone = zone
+	tests := []struct {
+		name    string
+		cordons catalog.Cordons
+		age     time.Duration
+		open    bool
+	}{
+		{"nothing cordoned", nil, time.Second, true},
+		{"another zone cordoned", catalog.Cordons{}.With(catalog.Cordon{Zone: "zone-2"}), 3 * time.Second, true},
+		{"cordoned", catalog.Cordons{}.With(catalog.Cordon{Zone: zone}), time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withLeases(t, func(t *testing.T, l *leases) {
+				p := poll(1)
+				p.Life = &inZone
+				ask(t, l, p)
+				publishOne(l)
+				cordons = test.cordons
+				time.Sleep(test.age)
+				p.Sequence = 2
+				a := ask(t, l, p)
+				if a.Open != test.open || test.open && time.Duration(a.OpenMillis)*time.Millisecond < test.age {
+					t.Errorf("open is %v with a proof of %d ms, want %v with at least %v", a.Open, a.OpenMillis, test.open, test.age)
+				}
+				cordonsProof = time.Time{}
+				p.Sequence = 3
+				if a := ask(t, l, p); a.Open {
+					t.Error("the zone is said to be open without a proof")
+				}
+			})
+		})
+	}
+}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -38,6 +38,8 @@
 type metrics struct {
 	starts, stops, holds, polls telemetry.Counters[outcome]
 	ends                        telemetry.Counters[job.Ending]
+	// cordoned counts starts that had to wait until it was known that the zone is not cordoned.
+	cordoned tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -45,7 +47,8 @@
 		return telemetry.NewCounters(scope, name, "outcome", outcomeDone, outcomeOtherLife, outcomeFenced, outcomeRefused, outcomeNone)
 	}
 	return metrics{
-		starts: counters("starts_ordered"), stops: counters("stops_ordered"), holds: counters("holds"), polls: counters("polls"),
+		cordoned: scope.Counter("starts_held_for_cordon"),
+		starts:   counters("starts_ordered"), stops: counters("stops_ordered"), holds: counters("holds"), polls: counters("polls"),
 		ends: telemetry.NewCounters(scope, "ends_listed", "how", job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken,
 			job.EndAlone),
 	}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -31,17 +31,25 @@
 
 // start tries until it is settled whether the run is there.
 func (r *Runner) start(ctx context.Context, s assignment.Start, generation int) {
+	waits := false
 	for busy := 0; ctx.Err() == nil; {
 		r.mu.Lock()
 		k := r.runs[s.RunID]
 		order, ok := r.order()
 		until, leased := r.deadline(time.Now())
+		open := r.zoneOpen(time.Now())
 		gone := generation != r.generation || k == nil || k.phase == there || k.stopping
 		r.mu.Unlock()
 		if gone {
 			return
 		}
-		if !ok || !leased {
+		if ok && !open && !waits {
+			waits = true
+			r.parts.Logger.Info().Str("step", "runner.start").Stringer("task", s.Task).Int("run", s.Run).
+				Msg("start waits until it is known that the zone is not cordoned")
+			r.metrics.cordoned.Inc(1)
+		}
+		if !ok || !leased || !open {
 			pause(ctx, retryPause)
 			continue
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -25,6 +25,15 @@
 	Lease time.Duration
 	// Drift is the most by which the worker's clock may be slow, as a share.
 	Drift float64
+	// Cordon is how long after operators cordoned the worker's availability zone something may still start.
+	Cordon time.Duration
+}
+
+// startWithin is how old the proof that the zone is open may be when a start is sent. Who cordons the zone is told no sooner than the proof
+// was taken, and the start is carried out no later than its call ends, so both together stay under Cordon, less what clocks
+// and wake-ups may take.
+func (s Settings) startWithin() time.Duration {
+	return time.Duration(float64(s.Cordon)*(1-s.Drift)) - callTimeout - wakeMargin
 }
 
 // Leader finds the leader and carries polls to it.
@@ -53,6 +62,9 @@
 	quickPause  = 30 * time.Millisecond
 	// silentAfter is how long a worker may give no answer before nothing is extended on it any more.
 	silentAfter = 1500 * time.Millisecond
+	// wakeMargin is what a process may need until it goes on between looking at a clock and sending; the agents of a busy box on the
+	// users' sites took up to 0.1 s.
+	wakeMargin = 150 * time.Millisecond
 	// pollTimeout bounds a poll: the leader holds one for half a second.
 	pollTimeout = 1800 * time.Millisecond
 )
@@ -118,6 +130,8 @@
 	fence  int64
 	// until is the end of the lease that the leader gave.
 	until time.Time
+	// open is the time of the newest proof that the worker's zone is not cordoned.
+	open time.Time
 	// clock is the worker's clock at the time read.
 	clock  int64
 	readAt time.Time
@@ -156,7 +170,7 @@
 func (r *Runner) reset() {
 	r.runs, r.ends = map[assignment.RunID]*known{}, map[int64]assignment.End{}
 	r.refused, r.ended = map[assignment.RunID]refusal{}, map[job.TaskName]int{}
-	r.seen, r.listed, r.readAt, r.told, r.pacer = 0, false, time.Time{}, time.Time{}, newPacer()
+	r.seen, r.listed, r.readAt, r.told, r.open, r.pacer = 0, false, time.Time{}, time.Time{}, time.Time{}, newPacer()
 	r.generation++
 }
 
@@ -344,6 +358,9 @@
 		r.until = until
 		signal(r.extend)
 	}
+	if open := a.OpenSince(sent); generation == r.generation && a.Open && open.After(r.open) {
+		r.open = open
+	}
 	if generation != r.generation || r.life == nil || a.Life != r.life.ID {
 		return
 	}
@@ -398,6 +415,11 @@
 	return r.clock + until.Sub(r.readAt).Milliseconds(), true
 }
 
+// zoneOpen reports whether a start may be sent: the proof that the worker's zone is not cordoned is new enough. The lock must be held.
+func (r *Runner) zoneOpen(now time.Time) bool {
+	return now.Sub(r.open) <= r.settings.startWithin()
+}
+
 // noteClock keeps a reading of the worker's clock. The lock must be held.
 func (r *Runner) noteClock(clock int64) {
 	if clock <= 0 {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -84,18 +84,24 @@
 
 func id(run int) assignment.RunID { return assignment.RunID{Task: task, Run: run} }
 
+// startAgent starts a runner beside a worker of two accelerators.
+func startAgent(ctx context.Context, t *testing.T, o *leader) *agent {
+	a := &agent{workers: jobtest.NewWorkers(1), leader: o}
+	a.workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: job.Need{Accelerators: 1}}}})
+	a.worker = a.workers.Add("w", "s", "z", "r", job.Need{Accelerators: 2})
+	a.runner = runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03, Cordon: jobtest.CordonBound},
+		runner.Parts{Worker: a.worker, Leader: a.leader, Logger: zerolog.Nop(), Metrics: tally.NoopScope})
+	go a.workers.Run(ctx)
+	go a.runner.Run(ctx)
+	life, _ := a.worker.Beat()
+	a.runner.Heartbeat(t.Context(), life)
+	return a
+}
+
 func within(t *testing.T, f func(t *testing.T, a *agent)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		a := &agent{workers: jobtest.NewWorkers(1), leader: &leader{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds()}}}
-		a.workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: job.Need{Accelerators: 1}}}})
-		a.worker = a.workers.Add("w", "s", "r", job.Need{Accelerators: 2})
-		a.runner = runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03},
-			runner.Parts{Worker: a.worker, Leader: a.leader, Logger: zerolog.Nop(), Metrics: tally.NoopScope})
-		go a.workers.Run(ctx)
-		go a.runner.Run(ctx)
-		life, _ := a.worker.Beat()
-		a.runner.Heartbeat(t.Context(), life)
+		a := startAgent(ctx, t, &leader{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds(), Open: true}})
 		time.Sleep(time.Second)
 		f(t, a)
 		for _, b := range a.workers.Report() {
@@ -251,9 +257,9 @@
 		workers := jobtest.NewWorkers(1)
 		workers.Work, workers.FailureShare = 200*time.Millisecond, 0
 		workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{{Tasks: 1, Need: job.Need{Accelerators: 1}}}})
-		worker := workers.Add("w", "s", "r", job.Need{Accelerators: 2})
-		o := &leader{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds(), Start: []assignment.Start{{RunID: id(1)}}}}
-		r := runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03}, runner.Parts{
+		worker := workers.Add("w", "s", "z", "r", job.Need{Accelerators: 2})
+		o := &leader{answer: assignment.Answer{Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds(), Open: true, Start: []assignment.Start{{RunID: id(1)}}}}
+		r := runner.New(runner.Settings{Name: "w", Agent: "1", Lease: lease, Drift: 0.03, Cordon: jobtest.CordonBound}, runner.Parts{
 			Worker: &lossy{Worker: worker, started: map[assignment.RunID]bool{}}, Leader: o, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
 		})
 		go workers.Run(ctx)
@@ -392,3 +398,62 @@
 		})
 	}
 }
+
+// TestStartWaitsForOpenZone: a start is sent only while the proof that the worker's zone is open is new enough, however old the proof
+// was when the leader sent it, and goes on by itself once there is a new one.
+func TestStartWaitsForOpenZone(t *testing.T) {
+	tests := []struct {
+		name    string
+		open    bool
+		age     time.Duration
+		started bool
+	}{
+		{"open", true, 0, true},
+		{"open, proof at its limit", true, 3 * time.Second, true},
+		{"open, proof too old", true, 4500 * time.Millisecond, false},
+		{"cordoned", false, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				a := startAgent(ctx, t, &leader{answer: assignment.Answer{
+					Term: 1, Fence: 1, LeaseMillis: lease.Milliseconds(), Open: test.open, OpenMillis: test.age.Milliseconds(),
+					Start: []assignment.Start{{RunID: id(1)}},
+				}})
+				time.Sleep(time.Second)
+				if started := a.workers.Starts > 0; started != test.started {
+					t.Errorf("started is %v, want %v", started, test.started)
+				}
+				a.leader.set(func(answer *assignment.Answer) { answer.Open, answer.OpenMillis = true, 0 })
+				time.Sleep(time.Second)
+				if a.workers.Starts != 1 {
+					t.Errorf("%d starts a second after the zone is known to be open, want 1", a.workers.Starts)
+				}
+				cancel()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// TestOrderInHand: an order that an agent could not carry out for a while is not carried out after the bound of a cordon that it cannot
+// have heard of, although its lease would still allow it.
+func TestOrderInHand(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.worker.SetUnreachable(true)
+		a.leader.set(func(answer *assignment.Answer) {
+			answer.Start = []assignment.Start{{RunID: id(1)}}
+		})
+		time.Sleep(500 * time.Millisecond)
+		a.leader.mu.Lock()
+		a.leader.down = true
+		a.leader.mu.Unlock()
+		time.Sleep(3900 * time.Millisecond)
+		a.worker.SetUnreachable(false)
+		time.Sleep(20 * time.Second)
+		if a.workers.Starts > 0 {
+			t.Errorf("%d runs started", a.workers.Starts)
+		}
+	})
+}
