--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -51,6 +51,8 @@
 	inbound, store, worker *loopback.Link
 	// callers is where an entry takes callers' calls.
 	callers string
+	// beside is the worker beside an agent, nil for an entry.
+	beside *jobtest.Worker
 }
 
 // links are all links of the box.
@@ -184,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	b := &box{name: name}
+	b := &box{name: name, beside: w}
 	if b.worker, err = c.link(served); err != nil {
 		return err
 	}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -32,6 +33,10 @@
 	bounceFor = 2 * time.Second
 	// stopSlack is added to the time that a planned stop may take.
 	stopSlack = time.Second
+	// cordonFor is added to the time for which a zone is cordoned, so that the bound of starts there is over for a while.
+	cordonFor = jobtest.CordonBound
+	// settled is how long after a fault of a worker's way orders that were held up may still arrive, as on the users' sites.
+	settled = 3 * time.Second
 )
 
 // strike lets the next fault strike.
@@ -42,7 +47,7 @@
 		return
 	}
 	b := s.anyBox()
-	switch s.random.IntN(12) {
+	switch s.random.IntN(14) {
 	case 0, 1:
 		s.linkFault(b, length)
 	case 2:
@@ -62,12 +67,18 @@
 		s.killAll()
 	case 11:
 		s.flap(b)
+	case 12, 13:
+		s.cordonZone(cordonFor + length)
 	}
 }
 
-// strikePlanned is a stop or a reload.
-func (s *striker) strikePlanned(time.Duration) {
+// strikePlanned is a stop, a reload, or a cordon.
+func (s *striker) strikePlanned(length time.Duration) {
 	b := s.anyBox()
+	if s.random.IntN(4) == 0 {
+		s.cordonZone(cordonFor + length)
+		return
+	}
 	if s.random.IntN(3) == 0 {
 		s.note("hangup of %s", b.name)
 		_ = b.process.Signal(syscall.SIGHUP)
@@ -122,6 +133,9 @@
 	}
 	kind := kinds[s.random.IntN(len(kinds))]
 	s.note("link of %s %s for %v", b.name, kind.name, length)
+	if l == b.worker {
+		b.beside.HoldUp(length + settled)
+	}
 	kind.strike(l)
 	s.later(length, l.Heal)
 }
@@ -139,6 +153,9 @@
 
 func (s *striker) pauseProcess(b *box, length time.Duration) {
 	s.note("%s paused for %v", b.name, length)
+	if b.beside != nil {
+		b.beside.HoldUp(length + settled)
+	}
 	_ = b.process.Signal(syscall.SIGSTOP)
 	s.later(length, func() { _ = b.process.Signal(syscall.SIGCONT) })
 }
@@ -208,6 +225,24 @@
 	}
 }
 
+// cordonZone cordons the zone of one of the workers, and takes that back later.
+func (s *striker) cordonZone(length time.Duration) {
+	zone := zoneOf(s.random.IntN(len(s.cluster.workers)))
+	s.note("%s cordoned for %v", zone, length)
+	platform := s.cluster.platform
+	if err := platform.PutCordon(context.Background(), zone, true); err != nil {
+		s.breaks("cordon of %s: %v", zone, err)
+		return
+	}
+	platform.Workers.Cordon(zone)
+	s.later(length, func() {
+		platform.Workers.Uncordon(zone)
+		if err := platform.PutCordon(context.Background(), zone, false); err != nil {
+			s.breaks("cordon of %s is not taken away: %v", zone, err)
+		}
+	})
+}
+
 // workerFault strikes one of the workers.
 func (s *striker) workerFault(length time.Duration) {
 	n := s.random.IntN(len(s.cluster.workers))
--- a/jobtest/rules.go
+++ b/jobtest/rules.go
@@ -84,10 +84,20 @@
 	delete(ws.cordoned, zone)
 }
 
-// checkCordon looks at a start in a zone that may be cordoned. An order that the worker carries out late is nobody's fault.
+// HoldUp notes that orders may arrive late for a while, because their sender or the way here stands still.
+func (w *Worker) HoldUp(length time.Duration) {
+	w.all.mu.Lock()
+	defer w.all.mu.Unlock()
+	if until := time.Now().Add(length); until.After(w.heldUp) {
+		w.heldUp = until
+	}
+}
+
+// checkCordon looks at a start in a zone that may be cordoned. An order that arrives late, or that the worker carries out late, is nobody's
+// fault.
 func (ws *Workers) checkCordon(w *Worker, s assignment.Start) {
 	at, ok := ws.cordoned[w.life.Zone]
-	if since := time.Since(at); ok && since > CordonBound && !w.late {
+	if since := time.Since(at); ok && since > CordonBound && !w.late && time.Now().After(w.heldUp) {
 		ws.breaks("EVAC: %v run %d starts on %s %v after its zone was cordoned", s.Task, s.Run, w.name, since)
 	}
 }
--- a/jobtest/workers.go
+++ b/jobtest/workers.go
@@ -87,12 +87,14 @@
 	// lateShare of the orders get no answer and are carried out later; late says that this happens now.
 	lateShare float64
 	late      bool
-	fence     int64
-	until     int64
-	runs      map[job.TaskName]*run
-	highest   map[job.TaskName]int
-	ends      []assignment.End
-	endedAt   map[int64]time.Time
+	// heldUp is until when orders may arrive that were sent long before: their sender or the way here stood still.
+	heldUp  time.Time
+	fence   int64
+	until   int64
+	runs    map[job.TaskName]*run
+	highest map[job.TaskName]int
+	ends    []assignment.End
+	endedAt map[int64]time.Time
 	// lapsed is when the lease was last seen to be over.
 	lapsed  time.Time
 	numbers int64
