--- a/admission/operators.go
+++ b/admission/operators.go
@@ -8,6 +8,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
@@ -28,6 +29,8 @@
 	JobSummary
 	Steps []job.Step   `json:"steps"`
 	Tasks []TaskDetail `json:"tasks"`
+	// Cordons are the cordoned availability zones, in which nothing of the job starts; none once it has ended.
+	Cordons []catalog.Cordon `json:"cordons,omitempty"`
 }
 
 // TaskDetail is what has become of a task.
@@ -36,16 +39,22 @@
 	job.Task
 }
 
-// Operators serves operators' questions about jobs from a replica. It changes nothing.
-type Operators struct{ replica *jobstore.Replica }
+// Operators serves operators' questions about jobs, and about what they have put in force. It changes nothing.
+type Operators struct {
+	replica *jobstore.Replica
+	catalog *catalog.Follower
+}
 
 // NewOperators returns the handlers of operators' questions.
-func NewOperators(r *jobstore.Replica) *Operators { return &Operators{replica: r} }
+func NewOperators(r *jobstore.Replica, c *catalog.Follower) *Operators {
+	return &Operators{replica: r, catalog: c}
+}
 
 // Register adds the routes.
 func (o *Operators) Register(r *httprouter.Router) {
 	r.GET("/v1/jobs", o.serveList)
 	r.GET("/v1/jobs/:id", o.serveOne)
+	r.GET("/v1/status", o.serveStatus)
 }
 
 func (o *Operators) serveList(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -92,6 +101,9 @@
 			detail.Tasks = append(detail.Tasks, TaskDetail{Name: name.String(), Task: *t})
 		})
 	}
+	if phase, _ := o.replica.Phase(id); !phase.Final() {
+		detail.Cordons = o.cordons()
+	}
 	slices.SortFunc(detail.Tasks, func(a, b TaskDetail) int { return cmp.Compare(a.Name, b.Name) })
 	jsonhttp.Write(w, http.StatusOK, detail)
 }
--- a/admission/operators_test.go
+++ b/admission/operators_test.go
@@ -11,11 +11,32 @@
 	"github.com/rs/zerolog"
 
 	"yarrowgrade.example/yarrowgrade/admission"
+	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/jobtest"
 )
 
+// cordonedCatalog follows a configuration and the cordon of zone-1.
+func cordonedCatalog(t *testing.T) *catalog.Follower {
+	log := jobtest.NewLog(1)
+	records := []jobstore.Record{{Key: "config", Value: []byte("1")}, {Key: "zone-1", Value: []byte("{}")}}
+	if _, err := log.Client("o").Append(t.Context(), records, jobstore.Condition{}); err != nil {
+		t.Fatal(err)
+	}
+	f := catalog.NewFollower(log.Client("e"), catalog.Format{
+		ConfigKey:    "config",
+		Config:       func([]byte) (*catalog.Catalog, error) { return catalog.Catalog{Version: 1}.WithIndex(), nil },
+		CordonedZone: func(key string) (string, bool) { return key, key != "config" },
+		CheckCordon:  func([]byte) error { return nil },
+	}, zerolog.Nop())
+	go f.Run(t.Context())
+	for cordons, proof := f.Cordons(); len(cordons) == 0 || proof.IsZero(); cordons, proof = f.Cordons() {
+		time.Sleep(time.Millisecond)
+	}
+	return f
+}
+
 func TestOperators(t *testing.T) {
 	j := &job.Job{ID: "00000000000000ab", Queue: "q", Team: "t", Steps: []job.Step{{Tasks: 2}}, Accepted: time.Unix(0, 0)}
 	submission, err := jobstore.SubmissionRecord(j)
@@ -31,7 +52,7 @@
 	replica := jobstore.NewReplica(jobtest.NewLog(1).Client("e"), func() int { return 1 }, zerolog.Nop())
 	replica.Note([]jobstore.Record{submission, progress}, 0)
 	router := httprouter.New()
-	admission.NewOperators(replica).Register(router)
+	admission.NewOperators(replica, cordonedCatalog(t)).Register(router)
 	tests := []struct {
 		path   string
 		status int
@@ -40,6 +61,9 @@
 		{"/v1/jobs", http.StatusOK, `"phase":"running"`},
 		{"/v1/jobs/00000000000000ab", http.StatusOK, `"name":"00000000000000ab.0.0.1","r":3,"w":"worker-7"`},
 		{"/v1/jobs/00000000000000cd", http.StatusNotFound, "no such job"},
+		{"/v1/jobs/00000000000000ab", http.StatusOK, `"cordons":[{"zone":"zone-1","revision":1,`},
+		{"/v1/status", http.StatusOK, `"version":1,"proof_ms":`},
+		{"/v1/status", http.StatusOK, `"cordons":[{"zone":"zone-1","revision":1,`},
 		{"/v1/jobs/x", http.StatusBadRequest, `"field":"id"`},
 	}
 	for _, test := range tests {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -179,3 +179,25 @@
 		t.Fatal(err)
 	}
 }
+
+// TestManyQueues: with 1,400 routes more, each still leads to its own queue, the longest prefix first.
+func TestManyQueues(t *testing.T) {
+	const routes = 1400
+	c := catalog.Catalog{Version: 1}
+	for i := range routes {
+		c.Queues = append(c.Queues, catalog.Queue{Name: fmt.Sprint(i), Host: fmt.Sprintf("h%d.example", i%7), Prefix: fmt.Sprintf("/p%d/", i)})
+	}
+	c.Queues = append(c.Queues, catalog.Queue{Name: "longer", Host: "h3.example", Prefix: "/p3/x/"})
+	indexed := c.WithIndex()
+	for i := range routes {
+		if q, ok := indexed.Route(fmt.Sprintf("h%d.example", i%7), fmt.Sprintf("/p%d/0123456789abcdef", i)); !ok || q.Name != fmt.Sprint(i) {
+			t.Fatalf("route %d leads to %q, %v", i, q.Name, ok)
+		}
+	}
+	if q, _ := indexed.Route("h3.example", "/p3/x/0123456789abcdef"); q.Name != "longer" {
+		t.Errorf("the longer prefix leads to %q", q.Name)
+	}
+	if q, ok := indexed.Route("h3.example", "/p4/0123456789abcdef"); ok {
+		t.Errorf("a route of another host leads to %q", q.Name)
+	}
+}
--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 	"yarrowgrade.example/yarrowgrade/entry"
 	"yarrowgrade.example/yarrowgrade/fault"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
+	"yarrowgrade.example/yarrowgrade/leader"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/policy"
 	"yarrowgrade.example/yarrowgrade/request"
@@ -101,6 +102,18 @@
 	return v, c.call(ctx, "Job", http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil, &v)
 }
 
+// JobsStatus returns what a job entry knows of what operators have put in force.
+func (c *Client) JobsStatus(ctx context.Context) (admission.JobsStatus, error) {
+	var v admission.JobsStatus
+	return v, c.call(ctx, "JobsStatus", http.MethodGet, "/v1/status", nil, &v)
+}
+
+// JobWorkers lists the workers that run jobs. Only the job entry that leads knows them.
+func (c *Client) JobWorkers(ctx context.Context) ([]leader.WorkerStatus, error) {
+	var list []leader.WorkerStatus
+	return list, c.call(ctx, "JobWorkers", http.MethodGet, leader.WorkersPath, nil, &list)
+}
+
 // Status returns what all entries tell.
 func (c *Client) Status(ctx context.Context) (entry.Status, error) {
 	var v entry.Status
--- a/cmd/yarrowgrade/job.go
+++ b/cmd/yarrowgrade/job.go
@@ -7,20 +7,28 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/admission"
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/leader"
 )
 
 const jobUsage = `
-job shows jobs on the users' platform. Any job entry answers, at the first port of its range; give its address with --entry.
+job shows jobs on the users' platform. Any job entry answers, at the first port of its range; give its address with --entry. The list of
+workers comes from the entry that leads; the others say where it is.
 
 Examples:
 
   yarrowgrade --entry http://10.1.0.19:7000 job list
   yarrowgrade --entry http://10.1.0.19:7000 job show 7b1f7d2030478d63
+  yarrowgrade --entry http://10.1.0.19:7000 job status
+  yarrowgrade --entry http://10.1.0.19:7000 job workers
 `
 
 type jobCommands struct {
 	List jobList `cmd:"" help:"List the jobs that are stored."`
-	Show jobShow `cmd:"" help:"Show a job with its tasks: run, worker, failures, done or not."`
+	Show jobShow `cmd:"" help:"Show a job with its tasks: run, worker, failures, done or not; and the zones in which nothing starts."`
+
+	Status  jobStatus  `cmd:"" help:"Show the configuration in force, the leader, and the cordoned zones."`
+	Workers jobWorkers `cmd:"" help:"List the workers, one line each, with the cordons of their zones."`
 }
 
 // Help implements kong.HelpProvider.
@@ -62,5 +70,70 @@
 		for _, t := range j.Tasks {
 			fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%v\n", t.Name, t.Run, strings.TrimSpace(t.Worker+" "+t.Life), t.Failures, t.Done)
 		}
+		printCordons(w, j.Cordons)
+	})
+}
+
+// printCordons prints a line for each cordoned zone.
+func printCordons(w io.Writer, cordons []catalog.Cordon) {
+	for _, c := range cordons {
+		fmt.Fprintf(w, "CORDONED\tzone %s, %s: nothing starts there\n", c.Zone, cordonText(&c))
+	}
+}
+
+// cordonText says since when a zone is cordoned, and by which record; "-" for an open one.
+func cordonText(c *catalog.Cordon) string {
+	if c == nil {
+		return "-"
+	}
+	return fmt.Sprintf("since %s (revision %d)", c.Since.Format(time.RFC3339), c.Revision)
+}
+
+type jobStatus struct{}
+
+// Run implements the command.
+func (*jobStatus) Run(s *session) error {
+	v, err := s.client.JobsStatus(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(v, func(w io.Writer) {
+		fmt.Fprintln(w, "CONFIG\tPROOF\tLEADER")
+		fmt.Fprintf(w, "%d\t%s\t%s\n", v.Version, proofText(v.ProofMillis), v.Leader)
+		printCordons(w, v.Cordons)
+	})
+}
+
+// proofText says how old the proof is that nothing newer is in force.
+func proofText(millis int64) string {
+	if millis < 0 {
+		return "none"
+	}
+	return (time.Duration(millis) * time.Millisecond).String() + " old"
+}
+
+type jobWorkers struct{}
+
+// Run implements the command.
+func (*jobWorkers) Run(s *session) error {
+	list, err := s.client.JobWorkers(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "WORKER\tZONE\tRACK\tSERVICE\tSTATE\tRUNS\tCORDONED")
+		for _, v := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", v.Worker, v.Zone, v.Rack, v.Service, workerStateText(v), v.Runs, cordonText(v.Cordon))
+		}
 	})
 }
+
+func workerStateText(v leader.WorkerStatus) string {
+	switch {
+	case v.Silent:
+		return "silent"
+	case v.Leaving:
+		return "leaving"
+	}
+	return "live"
+}
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -164,7 +164,8 @@
 	inner.HandlerFunc(http.MethodPost, jobstore.RecordsPath, e.writer.ServeWrite)
 	inner.HandlerFunc(http.MethodGet, assignment.LeaderPath, e.candidate.ServeLeader)
 	inner.HandlerFunc(http.MethodPost, assignment.HandoverPath, e.candidate.ServeHandover)
-	admission.NewOperators(e.replica).Register(inner)
+	admission.NewOperators(e.replica, e.catalog).Register(inner)
+	inner.HandlerFunc(http.MethodGet, leader.WorkersPath, e.candidate.ServeWorkers)
 	inner.Handler(http.MethodGet, "/metrics", e.telemetry.MetricsHandler)
 	handlers := map[string]http.Handler{
 		e.settings.Listen.Front:             closeWhenLeaving(platform.NewCallers(e.admission), e.leaving),
--- a/leader/leases_test.go
+++ b/leader/leases_test.go
@@ -238,3 +238,23 @@
 		})
 	}
 }
+
+// TestWorkerList: operators see each worker that has reported, what its agent lists, and the cordon of its zone.
+func TestWorkerList(t *testing.T) {
+	withLeases(t, func(t *testing.T, l *leases) {
+		inZone := life
+		inZone.Zone = "zone-1"
+		p := poll(1)
+		p.Life, p.Runs = &inZone, []assignment.Run{{RunID: wantedRun}}
+		ask(t, l, p)
+		cordons = catalog.Cordons{}.With(catalog.Cordon{Zone: "zone-1", Revision: 7})
+		list, ok := l.workers()
+		if !ok || len(list) != 1 || list[0].Worker != "w" || list[0].Runs != 1 || list[0].Cordon == nil || list[0].Cordon.Revision != 7 {
+			t.Errorf("got %+v, %v", list, ok)
+		}
+		l.close()
+		if list, ok := l.workers(); ok {
+			t.Errorf("an entry that does not lead lists %+v", list)
+		}
+	})
+}
--- /dev/null
+++ b/leader/workers.go
@@ -0,0 +1,65 @@
+package leader
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/jsonhttp"
+)
+
+// WorkersPath is where the leader lists the workers that it knows.
+const WorkersPath = "/v1/workers"
+
+// WorkerStatus is a worker as the leader knows it.
+type WorkerStatus struct {
+	Worker  string `json:"worker"`
+	Life    string `json:"life"`
+	Zone    string `json:"zone"`
+	Rack    string `json:"rack"`
+	Service string `json:"service"`
+	// Leaving says that the worker takes no new work, Silent that its agent gets no answer from it.
+	Leaving bool `json:"leaving"`
+	Silent  bool `json:"silent"`
+	// Runs is how many runs its agent lists. In a cordoned zone they go on, and none is added.
+	Runs int `json:"runs"`
+	// Cordon is that of its zone, nil if the zone is open.
+	Cordon *catalog.Cordon `json:"cordon,omitempty"`
+}
+
+// ServeWorkers lists the workers, or says where the leader is.
+func (c *Candidate) ServeWorkers(w http.ResponseWriter, _ *http.Request) {
+	list, ok := c.leases.workers()
+	if !ok {
+		jsonhttp.WriteError(w, &jsonhttp.StatusError{
+			Status: http.StatusConflict, Message: "only the entry that leads knows the workers; it is at " + c.redirect().Address,
+		})
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, list)
+}
+
+// workers lists the workers that have reported in this term; false if this entry does not lead.
+func (l *leases) workers() (list []WorkerStatus, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cordons, _ := l.cordons()
+	list = []WorkerStatus{}
+	for name, p := range l.agents {
+		life := p.poll.Life
+		if life == nil {
+			continue
+		}
+		s := WorkerStatus{
+			Worker: name, Life: life.ID, Zone: life.Zone, Rack: life.Rack, Service: life.Service,
+			Leaving: life.Leaving, Silent: p.poll.Silent, Runs: len(p.poll.Runs),
+		}
+		if cordon, cordoned := cordons[life.Zone]; cordoned {
+			s.Cordon = &cordon
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b WorkerStatus) int { return cmp.Compare(a.Worker, b.Worker) })
+	return list, l.term != 0
+}
