--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Times of a day.
@@ -134,7 +135,7 @@
 				d.callers.cancel(whole, j.ID, queue, first)
 			}
 		}()
-		pause(ctx, time.Duration(d.random.Int64N(int64(jobPause))))
+		pause.For(ctx, time.Duration(d.random.Int64N(int64(jobPause))))
 	}
 	for _, done := range open {
 		<-done
@@ -143,7 +144,7 @@
 
 func (d *day) disturb(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(d.striker.random.Int64N(int64(faultPause))))
+		pause.For(ctx, time.Duration(d.striker.random.Int64N(int64(faultPause))))
 		if ctx.Err() == nil {
 			d.striker.strike()
 		}
@@ -152,14 +153,14 @@
 
 // revoke takes a key away early in the day, and tries it on until the end.
 func (d *day) revoke(ctx context.Context) {
-	pause(ctx, d.settings.Length/8)
+	pause.For(ctx, d.settings.Length/8)
 	if err := d.cluster.platform.PutConfig(context.WithoutCancel(ctx), config(2, keptKey)); err != nil {
 		d.broken = append(d.broken, fmt.Sprintf("the configuration is not taken: %v", err))
 		return
 	}
 	acknowledged := time.Now()
 	for ctx.Err() == nil {
-		pause(ctx, keyPause)
+		pause.For(ctx, keyPause)
 		for i := range d.cluster.entries {
 			sent := time.Now()
 			_, a := d.callers.caller(i, takenKey).State(ctx, prefix(0), "ffffffffffffffff")
@@ -244,11 +245,3 @@
 	r.broken = append(append(append(r.broken, d.broken...), d.striker.broken...), d.callers.broken...)
 	return r
 }
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -1,33 +1,19 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
+
+	"yarrowgrade.example/yarrowgrade/loopback/loopbacktest"
 )
 
 // binaries is where TestMain built the programs.
 var binaries string
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	dir, err := os.MkdirTemp("", "yarrowgrade-soak-")
-	if err != nil {
-		panic(err)
-	}
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "yarrowgrade.example/yarrowgrade/cmd/...")
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v\n%s", err, out))
-	}
-	binaries = dir
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(loopbacktest.Run(m, &binaries)) }
 
 // small are the settings of a day that a test plays.
 func small() settings {
--- a/cmd/yarrowgraded/entry.go
+++ b/cmd/yarrowgraded/entry.go
@@ -8,6 +8,7 @@
 
 	"yarrowgrade.example/yarrowgrade/entry"
 	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/pause"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
 
@@ -73,7 +74,7 @@
 		name: "entry", listen: c.Listen, address: c.Address, handler: e.Handler(), run: e.Run,
 		leave: func(ctx context.Context) error {
 			e.Leave()
-			sleep(ctx, c.Drain)
+			pause.For(ctx, c.Drain)
 			return nil
 		},
 		stopTimeout: c.StopTimeout, telemetry: t,
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -20,6 +20,7 @@
 	"yarrowgrade.example/yarrowgrade/dispatch"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/leader"
+	"yarrowgrade.example/yarrowgrade/pause"
 	"yarrowgrade.example/yarrowgrade/platform"
 	"yarrowgrade.example/yarrowgrade/telemetry"
 )
@@ -145,7 +146,7 @@
 	e.telemetry.Log.Info().Str("step", "stop").Msg("entry leaves")
 	close(e.leaving)
 	e.candidate.Resign()
-	sleep(running, drainFor)
+	pause.For(running, drainFor)
 	stopping, done := context.WithTimeout(running, e.settings.Grace()-drainFor-time.Second)
 	defer done()
 	for _, server := range servers {
--- a/cmd/yarrowgraded/serve.go
+++ b/cmd/yarrowgraded/serve.go
@@ -88,16 +88,6 @@
 	return nil
 }
 
-// sleep waits, or returns early when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // role is what the processes of a box have in common: they run, serve, and leave on SIGTERM.
 type role struct {
 	name        string
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -20,6 +19,7 @@
 	"yarrowgrade.example/yarrowgrade/hosting/standin"
 	"yarrowgrade.example/yarrowgrade/ledger"
 	"yarrowgrade.example/yarrowgrade/loopback"
+	"yarrowgrade.example/yarrowgrade/loopback/loopbacktest"
 	"yarrowgrade.example/yarrowgrade/placement"
 	"yarrowgrade.example/yarrowgrade/request"
 )
@@ -30,20 +30,7 @@
 // binaries is where TestMain built the programs.
 var binaries string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "yarrowgrade-e2e-")
-	if err != nil {
-		panic(err)
-	}
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "yarrowgrade.example/yarrowgrade/cmd/...")
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v\n%s", err, out))
-	}
-	binaries = dir
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(loopbacktest.Run(m, &binaries)) }
 
 // process is one program that the test started.
 type process struct {
--- a/gang/member.go
+++ b/gang/member.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Pauses between tries.
@@ -131,7 +132,7 @@
 			m.setStatus(Ready)
 			return true
 		}
-		pause(ctx, prepareRetry)
+		pause.For(ctx, prepareRetry)
 	}
 	return false
 }
@@ -291,7 +292,7 @@
 			m.setStatus(Stopped)
 			return
 		}
-		pause(ctx, stopRetry)
+		pause.For(ctx, stopRetry)
 	}
 }
 
@@ -309,17 +310,5 @@
 	if !expires.IsZero() {
 		d = min(d, time.Until(expires))
 	}
-	pause(ctx, d)
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, d)
 }
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Prefixes of the keys under which entries say where they are reached, and how much processor time they have, in cores. Readers of an
@@ -169,7 +171,7 @@
 		if err == nil || errors.Is(err, ErrFenced) {
 			return
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
--- a/jobstore/tail.go
+++ b/jobstore/tail.go
@@ -231,13 +231,3 @@
 		Dur("away_ms", time.Since(t.lost)).Msg("the log answers again")
 	t.failures = 0
 }
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -15,6 +15,7 @@
 	"yarrowgrade.example/yarrowgrade/fault"
 	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // RecordsPath is where an entry keeps a record for another one that does not reach the log.
@@ -86,7 +87,7 @@
 		if !doubt {
 			return err
 		}
-		pause(ctx, keepPause)
+		pause.For(ctx, keepPause)
 		if ctx.Err() != nil {
 			return fmt.Errorf("jobstore.Write: uncertain: %w", context.Cause(ctx))
 		}
--- a/jobtest/log.go
+++ b/jobtest/log.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Fault is how the log treats a client.
@@ -251,13 +252,8 @@
 	return batch, nil
 }
 
+// sleep waits, and returns the error of ctx if that has ended.
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pause.For(ctx, d)
+	return ctx.Err()
 }
--- a/leader/handover.go
+++ b/leader/handover.go
@@ -11,6 +11,7 @@
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/jobstore"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Times of a handover.
@@ -35,7 +36,7 @@
 func (t *term) handOver(ctx context.Context, handed func()) {
 	began := time.Now()
 	wait := max(handOverAfter, 2*t.parts.Latency.Patience(0))
-	for pause(ctx, wait) {
+	for pause.For(ctx, wait) {
 		if t.offer(ctx, time.Since(began)) {
 			handed()
 			return
@@ -86,7 +87,7 @@
 
 // yieldToLarger offers leadership to larger entries, a few at a time, until ctx ends, which it does when one has claimed it.
 func (t *term) yieldToLarger(ctx context.Context) {
-	for pause(ctx, yieldEvery) {
+	for pause.For(ctx, yieldEvery) {
 		larger := t.parts.Larger()
 		rand.Shuffle(len(larger), func(i, j int) { larger[i], larger[j] = larger[j], larger[i] })
 		for _, address := range larger[:min(yieldAsked, len(larger))] {
@@ -147,15 +148,3 @@
 	c.offered.Store(offer.Term)
 	return nil
 }
-
-// pause waits, and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/hosting"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Settings of the follower.
@@ -112,7 +113,7 @@
 	if s, found := f.peers.NewerState(ctx, f.next-1); found {
 		f.jump(ctx, out, s, true)
 	}
-	pause(ctx, readRetry)
+	pause.For(ctx, readRetry)
 }
 
 func send(ctx context.Context, out chan<- Update, u Update) {
@@ -121,12 +122,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/loopback/loopbacktest/binaries.go
@@ -0,0 +1,31 @@
+// Package loopbacktest builds the project's programs for tests that run them as processes.
+//
+// # Usage
+//
+//	func TestMain(m *testing.M) { os.Exit(loopbacktest.Run(m, &binaries)) }
+package loopbacktest
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// Run builds all programs into a directory of its own, names that, and runs the tests. It returns their exit code.
+func Run(m *testing.M, directory *string) int {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "yarrowgrade-")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "yarrowgrade.example/yarrowgrade/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v\n%s", err, out))
+	}
+	*directory = dir
+	return m.Run()
+}
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -7,13 +7,14 @@
 
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // listLoop asks the worker what it runs, again and again; an answer comes as soon as a run ends.
 func (r *Runner) listLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.list(ctx, listWait) {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -27,7 +28,7 @@
 			return
 		}
 		if !r.list(ctx, 0) {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			r.mu.Lock()
 			again := r.life != nil
 			r.mu.Unlock()
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // maxBusy is how often a start is tried on a worker that does nothing, before the leader is told.
@@ -50,7 +51,7 @@
 			r.metrics.cordoned.Inc(1)
 		}
 		if !ok || !leased || !open {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		attempt, cancel := context.WithTimeout(ctx, callTimeout)
@@ -60,7 +61,7 @@
 		if r.settleStart(ctx, s, generation, clock, err, &busy) {
 			return
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
@@ -153,7 +154,7 @@
 			return
 		}
 		if !ok {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		attempt, cancel := context.WithTimeout(ctx, callTimeout)
@@ -174,7 +175,7 @@
 		if err == nil && r.settleStop(ctx, id, generation, reason) {
 			return
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Bounds of the pace of what fills beside tasks that serve users. A worker's figures are of the last half second, and an order
@@ -109,7 +110,7 @@
 			return
 		}
 		for r.paceOnce(ctx) && ctx.Err() == nil {
-			pause(ctx, paceEvery)
+			pause.For(ctx, paceEvery)
 		}
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,6 +14,7 @@
 
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Settings of a runner.
@@ -295,7 +296,7 @@
 		cancel()
 		r.metrics.polls.Inc(outcomeOf(err))
 		if err != nil {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			if news != nil {
 				signal(news)
 			}
@@ -304,7 +305,7 @@
 		r.obey(ctx, answer, sent, generation)
 		if wait && answer.Held() < quickAnswer {
 			// Whatever was to be said has been said; asking at once again would only say it again.
-			pause(ctx, quickPause)
+			pause.For(ctx, quickPause)
 		}
 	}
 }
@@ -428,13 +429,3 @@
 	now := time.Now()
 	r.clock, r.readAt, r.answers = clock, now, now
 }
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
