--- a/dispatch/cordon_test.go
+++ b/dispatch/cordon_test.go
@@ -27,17 +27,18 @@
 	}, zerolog.Nop())
 	go follower.Run(b.t.Context())
 	b.control.catalog = follower
-	for _, w := range b.control.workers {
-		w.life.Zone = w.life.Rack
-	}
-	return func(zone string, value []byte) {
+	put := func(key string, value []byte) {
 		changed := follower.Changed()
-		record := []jobstore.Record{{Key: "cordon/" + zone, Value: value}}
-		if _, err := log.Client("o").Append(b.t.Context(), record, jobstore.Condition{}); err != nil {
+		if _, err := log.Client("o").Append(b.t.Context(), []jobstore.Record{{Key: key, Value: value}}, jobstore.Condition{}); err != nil {
 			b.t.Fatal(err)
 		}
 		<-changed
 	}
+	put("config", []byte("1"))
+	for _, w := range b.control.workers {
+		w.life.Zone = w.life.Rack
+	}
+	return func(zone string, value []byte) { put("cordon/"+zone, value) }
 }
 
 // TestCordonedZone: nothing is placed in a cordoned zone, of whatever kind, and nothing waits for room there.
