--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -309,3 +309,20 @@
 		t.Errorf("%d lines, want 2", got)
 	}
 }
+
+// TestBesideHeldRoom: what fits beside a gang that waits for a worker is not kept from the rest of the rack until the gang starts.
+func TestBesideHeldRoom(t *testing.T) {
+	b := newFixture(t, 1, 3)
+	large := job.Need{CPU: 10_000, Memory: 70_000, Accelerators: 1}
+	b.job(1, "other", job.Step{Tasks: 1, Need: large, Estimate: 20 * time.Second})
+	b.plan(0)
+	gang := b.job(1, "other", job.Step{Tasks: 3, Need: large, Gang: true, SameRack: true, Estimate: 10 * time.Second})
+	small := b.job(2, "other", job.Step{Tasks: 2, Need: job.Need{CPU: 5000, Memory: 20_000, Accelerators: 1}, Estimate: time.Minute})
+	b.plan(10 * time.Millisecond)
+	if len(b.at(gang)) != 0 {
+		t.Fatalf("the gang is at %v: the test proves nothing", b.at(gang))
+	}
+	if at := b.at(small); len(at) != 2 {
+		t.Errorf("what fits beside the gang is at %v, want both tasks placed", at)
+	}
+}
