--- a/dispatch/cordon.go
+++ b/dispatch/cordon.go
@@ -1,8 +1,9 @@
 package dispatch
 
 // withdraw stops what was placed in an availability zone that has been cordoned since, and is not known to have begun: its agent
-// may hold it back until the zone is open again. A gang is withdrawn whole, or those of its members that have begun would wait for the
-// others in vain. What has begun goes on: see docs/design/shifted-work.md for the figures of stopping it instead.
+// may hold it back until the zone is open again. A gang is withdrawn whole, or those of its members that have begun would end for lack of the
+// others, after four seconds on the users' sites. What has begun goes on: moving at once what saves its work gained nothing (-0.015 of a
+// day, error 0.014, 20 pairs of days with two zones cordoned).
 func (p *plan) withdraw() {
 	for _, n := range p.nodes {
 		if !n.closed {
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -43,7 +43,7 @@
 	if w.step.DataRack != "" {
 		var near []*node
 		if r := p.racks[w.step.DataRack]; r != nil {
-			near = open(r.nodes)
+			near = inOpenZones(r.nodes)
 		}
 		waited := p.now.Sub(w.tracked.job.Accepted)
 		if len(near) > 0 && (!w.step.Gang || p.canEverFit(w, near)) && p.c.has(DataPatience) && waited < time.Duration(dataPatience*float64(w.step.Estimate)) {
@@ -73,8 +73,8 @@
 	return domains
 }
 
-// open returns those of the nodes whose zone is not cordoned: nothing waits for the others.
-func open(nodes []*node) []*node {
+// inOpenZones returns those of the nodes whose zone is not cordoned: nothing waits for the others.
+func inOpenZones(nodes []*node) []*node {
 	if !slices.ContainsFunc(nodes, func(n *node) bool { return n.closed }) {
 		return nodes
 	}
