Sight: an agent says when its worker starts again under its id, and which ends nobody read

Cause: the logs could not tell a new start under the former id from the life before, nor an end that was passed over by its number, nor a run that went from the list without one.

Change: `born` is read from heartbeats and lists and logged; "worker has started again under its id", "end is passed over: its number counts as read" and "run is gone from the list without an end", with the numbers that decided it, and two counters (ends_passed_over, runs_gone_without_end). Nothing is decided by them.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -36,7 +36,9 @@
 
 // Life describes one life of a worker.
 type Life struct {
-	ID      string   `json:"id"`
+	ID string `json:"id"`
+	// Born is when the worker started, in milliseconds since 1970 by its own time of day.
+	Born    int64    `json:"born,omitempty"`
 	Machine string   `json:"machine,omitempty"`
 	Service string   `json:"service"`
 	Zone    string   `json:"zone"`
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -116,6 +116,7 @@
 	}
 	for _, e := range l.Ends {
 		if e.Number <= r.seen {
+			r.notePassedOver(e)
 			continue
 		}
 		if _, ok := r.ends[e.Number]; !ok {
@@ -132,6 +133,7 @@
 	}
 	for id := range before {
 		if k := r.runs[id]; k != nil && k.phase == there && !listed[id] {
+			r.noteGone(id, l)
 			r.noteEnded(id)
 		}
 	}
@@ -140,6 +142,23 @@
 	}
 }
 
+// notePassedOver says that an end counts as read by its number, and that this agent has not read it. The lock must be held.
+func (r *Runner) notePassedOver(e assignment.End) {
+	if r.endedTask(e.Task, e.Run) {
+		return
+	}
+	r.metrics.passedOver.Inc(1)
+	r.parts.Logger.Warn().Str("step", "runner.list").Stringer("task", e.Task).Int("run", e.Run).Str("how", string(e.How)).Int64("number", e.Number).
+		Int64("read_up_to", r.seen).Msg("end is passed over: its number counts as read")
+}
+
+// noteGone says that a run is gone from a worker's list. Its end is told in the same list, or nobody will read it. The lock must be held.
+func (r *Runner) noteGone(id assignment.RunID, l Listing) {
+	r.metrics.gone.Inc(1)
+	r.parts.Logger.Warn().Str("step", "runner.list").Stringer("task", id.Task).Int("run", id.Run).Int64("born", l.Born).Int64("read_up_to", r.seen).
+		Int("ends", len(l.Ends)).Msg("run is gone from the list without an end")
+}
+
 func (r *Runner) noteEnded(id assignment.RunID) {
 	delete(r.runs, id)
 	r.ended[id.Task] = max(r.ended[id.Task], id.Run)
--- a/runner/lives.go
+++ b/runner/lives.go
@@ -34,7 +34,10 @@
 	}
 	news := r.life == nil || r.life.ID != l.ID || r.life.Leaving != l.Leaving || r.life.Room != l.Room
 	if r.life == nil {
-		r.parts.Logger.Info().Str("step", "runner.heartbeat").Str("life", l.ID).Msg("worker reports")
+		r.parts.Logger.Info().Str("step", "runner.heartbeat").Str("life", l.ID).Int64("born", l.Born).Msg("worker reports")
+	} else if r.life.Born != l.Born {
+		r.parts.Logger.Warn().Str("step", "runner.heartbeat").Str("life", l.ID).Int64("born", l.Born).Int64("former", r.life.Born).
+			Int64("read_up_to", r.seen).Int("runs", len(r.runs)).Msg("worker has started again under its id")
 	} else if r.life.Leaving != l.Leaving {
 		r.parts.Logger.Info().Str("step", "runner.heartbeat").Str("life", l.ID).Int64("leaves_in_ms", l.LeavesIn).Msg("worker leaves")
 	}
--- a/runner/metrics.go
+++ b/runner/metrics.go
@@ -57,6 +57,8 @@
 	ends                        telemetry.Counters[job.Ending]
 	// cordoned counts starts that had to wait until it was known that the zone is not cordoned.
 	cordoned tally.Counter
+	// passedOver counts ends that count as read by their number and were not read, gone the runs that went from a list without an end.
+	passedOver, gone tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -64,9 +66,10 @@
 		return telemetry.NewCounters(scope, name, "outcome", outcomeDone, outcomeOtherLife, outcomeFenced, outcomeRefused, outcomeNone)
 	}
 	return metrics{
-		lives:    telemetry.NewCounters(scope, "lives_over", "how", lifeLeft, lifeCrashed),
-		cordoned: scope.Counter("starts_held_for_cordon"),
-		starts:   counters("starts_ordered"), stops: counters("stops_ordered"), holds: counters("holds"), polls: counters("polls"),
+		lives:      telemetry.NewCounters(scope, "lives_over", "how", lifeLeft, lifeCrashed),
+		cordoned:   scope.Counter("starts_held_for_cordon"),
+		passedOver: scope.Counter("ends_passed_over"), gone: scope.Counter("runs_gone_without_end"),
+		starts: counters("starts_ordered"), stops: counters("stops_ordered"), holds: counters("holds"), polls: counters("polls"),
 		ends: telemetry.NewCounters(scope, "ends_listed", "how", job.EndDone, job.EndFailed, job.EndStopped, job.EndLapsed, job.EndBroken,
 			job.EndAlone),
 	}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -31,6 +31,8 @@
 
 // Listing is what a worker says of itself.
 type Listing struct {
+	// Born is when the worker that made the list started; see assignment.Life.
+	Born int64
 	Runs []assignment.Run
 	Ends []assignment.End
 }
