The end of a life is told beside the list of the next start under its id

Cause: three windows that a new start under the same id leaves open. (1) When a new leader's fence came, the agent told the end of the former start in a poll without a list, so a run that the new start had carried out was placed again elsewhere. (2) The first call after a silence still told the worker to forget what had been read of it; a new start forgot an end that nobody had read. (3) From the discovery of a new start until its first heartbeat nobody called it, up to a second on the stand-ins, and a late order was carried out there.

--- a/runner/listing.go
+++ b/runner/listing.go
@@ -14,6 +14,7 @@
 func (r *Runner) listLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.list(ctx, listWait) {
+			r.fenceAwaited(ctx)
 			pause.For(ctx, retryPause)
 		}
 	}
@@ -86,10 +87,11 @@
 	return true
 }
 
-// unforgotten is up to which end the worker is told to forget, zero once an answer said that it has: such a call that is carried out late, by a new start
-// under the same id, makes that forget ends that nobody has read, so none is sent without need. The lock must be held.
+// unforgotten is up to which end the worker is told to forget; zero if it has, and as long as it gives no answer. Such a call that a new start under the same
+// id carries out makes that forget ends that nobody has read, so none is sent without need, and none before the worker has shown
+// that it is still the one whose ends were read. The lock must be held.
 func (r *Runner) unforgotten() int64 {
-	if r.seen == r.forgotten {
+	if r.seen == r.forgotten || !r.failing.IsZero() {
 		return 0
 	}
 	return r.seen
--- a/runner/lives.go
+++ b/runner/lives.go
@@ -13,10 +13,11 @@
 	"yarrowgrade.example/yarrowgrade/life"
 )
 
-// lifeEnd is a life that is over. It is told until a poll later than the one numbered told has been heard.
+// lifeEnd is a life that is over. It is told until a poll that told it has been heard.
 type lifeEnd struct {
 	assignment.LifeEnd
-	told int64
+	// since is the number of the poll since which all polls have told it; zero if the newest did not.
+	since int64
 	// settled says that no order for this life has any effect any more; until then it is not told, since what was placed there would be placed again.
 	settled bool
 	// at is when the worker gave its last sign; zero if this agent never heard it.
@@ -45,7 +46,7 @@
 		r.answers = time.Now()
 	}
 	r.noteRoom(l.Room)
-	r.life = &l
+	r.life, r.awaited = &l, life.ID{}
 	if l.Leaving {
 		r.leaves = time.Now().Add(time.Duration(l.LeavesIn) * time.Millisecond)
 	}
@@ -116,7 +117,7 @@
 // goneBefore takes note of the end of a life that is not the present one. The lock must be held.
 func (r *Runner) goneBefore(id life.ID) {
 	if _, known := r.over[id]; !known {
-		r.former[id], r.over[id] = true, lifeEnd{LifeEnd: assignment.LifeEnd{ID: id, Left: true}, told: r.sequence, settled: true}
+		r.former[id], r.over[id] = true, lifeEnd{LifeEnd: assignment.LifeEnd{ID: id, Left: true}, settled: true}
 	}
 }
 
@@ -126,12 +127,43 @@
 	end := assignment.LifeEnd{ID: r.life.ID, Left: left, Leaving: !left && r.life.Leaving, Runs: r.cutRuns(), Listed: r.listed}
 	r.logLifeEnd(end, why)
 	r.metrics.lives.Inc(lifeOutcomeOf(end))
-	r.former[r.life.ID], r.over[r.life.ID] = true, lifeEnd{LifeEnd: end, told: r.sequence, at: r.lastSign(), settled: r.ordersVoid(why)}
+	r.former[r.life.ID], r.over[r.life.ID] = true, lifeEnd{LifeEnd: end, at: r.lastSign(), settled: r.ordersVoid(why)}
 	r.life = nil
 	r.reset()
+	var other *otherStartError
+	if errors.As(why, &other) {
+		r.awaited = other.present
+	}
 	signal(r.report)
 }
 
+// fenceAwaited tells a start of the worker that has not reported yet the fence of its life, so that what was sent to former starts has no effect there from now
+// on. A start that hears no fence carries such orders out. Its report may be a while off: on drawn days up to a second, within which it crashed
+// and started again, and a run began there that had been placed elsewhere meanwhile.
+func (r *Runner) fenceAwaited(ctx context.Context) {
+	r.mu.Lock()
+	order, generation := Order{Life: r.awaited, Fence: r.fenceOfLife()}, r.generation
+	known := r.life != nil || r.awaited.IsZero() || r.fence == 0
+	r.mu.Unlock()
+	if known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, _, err := r.hold(ctx, order, 0, 0, 0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var other *otherStartError
+	switch {
+	case generation != r.generation || r.life != nil:
+	case errors.As(err, &other):
+		// It has started once more, and has heard the fence by this call.
+		r.awaited = other.present
+	case errors.Is(err, ErrOtherLife):
+		r.awaited = life.ID{}
+	}
+}
+
 // ordersVoid reports whether no order for the present life, which ends, has any effect any more, though it may still be under way: the worker has
 // another id, or none of its starts was in doubt and it has gone. A start under the same id has not seen a fence yet, and may carry
 // such an order out. The lock must be held.
@@ -142,7 +174,8 @@
 	case errors.Is(why, errLeft):
 		return !r.doubted()
 	}
-	return !errors.Is(why, errOtherStart)
+	var other *otherStartError
+	return !errors.As(why, &other)
 }
 
 // doubted reports whether it is not known of some start whether it was carried out. The lock must be held.
@@ -160,7 +193,7 @@
 func (r *Runner) settleLives() {
 	for id, e := range r.over {
 		if !e.settled {
-			e.settled, e.told = true, r.sequence
+			e.settled = true
 			r.over[id] = e
 			signal(r.report)
 		}
@@ -210,15 +243,20 @@
 	r.parts.Logger.Warn().Str("step", "runner.list").Stringer("life", r.life.ID).Int("runs", len(r.runs)).Err(err).Msg("worker gives no answer")
 }
 
-// livesOver lists the lives whose end the leader has not heard of. The lock must be held.
+// livesOver lists the lives whose end the present poll tells. That of a former start under the present id is told only beside the present one's list: orders
+// for the former one may have been carried out by the present one, and the leader has to see both at once. The lock must be held.
 func (r *Runner) livesOver() []assignment.LifeEnd {
 	var ends []assignment.LifeEnd
 	byName := func(a, b life.ID) int { return cmp.Compare(a.String(), b.String()) }
 	for _, id := range slices.SortedFunc(maps.Keys(r.over), byName) {
 		e := r.over[id]
-		if !e.settled {
+		if !e.settled || !r.listed && r.life != nil && r.life.ID.SharesInstance(id) {
+			e.since = 0
+			r.over[id] = e
 			continue
 		}
+		e.since = cmp.Or(e.since, r.sequence)
+		r.over[id] = e
 		if !e.at.IsZero() {
 			e.SinceMillis = time.Since(e.at).Milliseconds()
 		}
@@ -227,6 +265,9 @@
 	return ends
 }
 
+// heardBy reports whether the poll with a number told it.
+func (e lifeEnd) heardBy(poll int64) bool { return e.since != 0 && e.since <= poll }
+
 // failingFor is for how long the worker has given no answer, zero while it does. The lock must be held.
 func (r *Runner) failingFor() time.Duration {
 	if r.failing.IsZero() {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -136,6 +136,8 @@
 	life *assignment.Life
 	// leaves is the earliest time at which a worker goes that leaves.
 	leaves time.Time
+	// awaited is a start of the worker that a list has told of, and that has not reported yet.
+	awaited life.ID
 	// former are lives that are over; over are those of which the leader has not heard it yet.
 	former map[life.ID]bool
 	over   map[life.ID]lifeEnd
@@ -294,7 +296,7 @@
 		r.fence, r.listed = a.Fence, false
 		signal(r.extend)
 	}
-	maps.DeleteFunc(r.over, func(_ life.ID, e lifeEnd) bool { return e.settled && e.told < a.Heard })
+	maps.DeleteFunc(r.over, func(_ life.ID, e lifeEnd) bool { return e.heardBy(a.Heard) })
 	if until := sent.Add(a.Held() + a.Lease()); a.LeaseMillis > 0 && r.clockOf(until).After(r.clockOf(r.until)) {
 		r.until = until
 		signal(r.extend)
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -18,7 +18,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
@@ -72,8 +71,16 @@
 	ErrRejected = errors.New("the worker rejects the order")
 )
 
-// errOtherStart says that the worker has started again under its id: its list says so.
-var errOtherStart = fmt.Errorf("%w, under the id that it had", ErrOtherLife)
+// otherStartError says that the worker has started again under its id: its list says so.
+type otherStartError struct{ present life.ID }
+
+// Error implements error.
+func (e *otherStartError) Error() string {
+	return "the worker has started again under the id that it had"
+}
+
+// Is says that it is a case of ErrOtherLife.
+func (*otherStartError) Is(target error) bool { return target == ErrOtherLife }
 
 // hold calls the worker's Hold, and checks that the start that is meant has made the list. The call can't name it, and the new start, which knows nothing of
 // what was read of the former one, must not be taken for it: ends that it counted from 1 again were passed over, and tasks that were
@@ -81,7 +88,7 @@
 func (r *Runner) hold(ctx context.Context, o Order, until, seen int64, wait time.Duration) (Listing, int64, error) {
 	listing, clock, err := r.parts.Worker.Hold(ctx, o, until, seen, wait)
 	if err == nil && listing.Born != o.Life.Born {
-		return Listing{}, 0, errOtherStart
+		return Listing{}, 0, &otherStartError{present: life.ID{Instance: o.Life.Instance, Born: listing.Born}}
 	}
 	return listing, clock, err
 }
