Tests of tasks that crash workers, with starts under the same id

Cause: both tests gave each start of a worker a new id, so a count by lives was never tried where lives share one.

--- a/jobtest/blame_test.go
+++ b/jobtest/blame_test.go
@@ -47,10 +47,10 @@
 type blame struct{ sound, soundFailed, bad, badFailed, crashes, starts int }
 
 // playBlame plays a day of two minutes.
-func playBlame(t *testing.T, seed uint64) (b blame) {
+func playBlame(t *testing.T, seed uint64, sh shape) (b blame) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		s := newSystem(ctx, t, seed, shape{})
+		s := newSystem(ctx, t, seed, sh)
 		s.workers.FailureShare = 0
 		r := rand.New(rand.NewPCG(seed, 3))
 		time.Sleep(3 * time.Second)
@@ -110,12 +110,18 @@
 // TestBlame plays drawn days on which some tasks crash their workers while workers crash, leave and are cut off for other reasons: each such task
 // is given up within the bound, no sound job without two crashes under it, and next to none with them. It prints what that cost. Replay a
 // failing seed with -jobtest.seed=N -jobtest.blame=1.
-func TestBlame(t *testing.T) {
+func TestBlame(t *testing.T) { blameDays(t, shape{}) }
+
+// TestBlameOfSameIDs plays such days with workers most of which start again under the id that they had.
+func TestBlameOfSameIDs(t *testing.T) { blameDays(t, shape{sameID: sameIDShare}) }
+
+func blameDays(t *testing.T, sh shape) {
+	t.Helper()
 	var sum blame
 	for n := range *blameSeeds {
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			b := playBlame(t, seed)
+			b := playBlame(t, seed, sh)
 			if b.badFailed != b.bad {
 				t.Errorf("%d of %d jobs whose task crashes its workers are given up", b.badFailed, b.bad)
 			}
--- a/jobtest/crash_test.go
+++ b/jobtest/crash_test.go
@@ -55,30 +55,30 @@
 		}},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			within(t, func(t *testing.T, s *system) {
-				sound := s.simpleJob(6, 2*time.Second)
-				s.submit(sound, 1)
-				bad := s.simpleJob(3, time.Second)
-				bad.Steps[0].Gang = test.gang
-				culprit := job.TaskName{Job: bad.ID}
-				s.workers.CrashOn(culprit, test.crash.after, test.crash.back)
-				s.submit(bad, 0)
-				s.awaitCrashes(culprit, 90*time.Second, test.strike)
-				if n := s.workers.CrashesBy(culprit); n < 2 || n > mostCrashes {
-					t.Errorf("the task crashed %d workers, want 2 to %d", n, mostCrashes)
-				}
-				if phase := s.phase(bad.ID); phase != job.Failed {
-					t.Errorf("its job is %v, want failed", phase)
-				}
-				if s.workers.AnyRun(bad.ID) {
-					t.Error("its job still runs")
-				}
-				if phase := s.phase(sound.ID); phase != job.Completed {
-					t.Errorf("the sound job is %v, want completed", phase)
-				}
-			})
-		})
+		play := func(t *testing.T, s *system) {
+			sound := s.simpleJob(6, 2*time.Second)
+			s.submit(sound, 1)
+			bad := s.simpleJob(3, time.Second)
+			bad.Steps[0].Gang = test.gang
+			culprit := job.TaskName{Job: bad.ID}
+			s.workers.CrashOn(culprit, test.crash.after, test.crash.back)
+			s.submit(bad, 0)
+			s.awaitCrashes(culprit, 90*time.Second, test.strike)
+			if n := s.workers.CrashesBy(culprit); n < 2 || n > mostCrashes {
+				t.Errorf("the task crashed %d workers, want 2 to %d", n, mostCrashes)
+			}
+			if phase := s.phase(bad.ID); phase != job.Failed {
+				t.Errorf("its job is %v, want failed", phase)
+			}
+			if s.workers.AnyRun(bad.ID) {
+				t.Error("its job still runs")
+			}
+			if phase := s.phase(sound.ID); phase != job.Completed {
+				t.Errorf("the sound job is %v, want completed", phase)
+			}
+		}
+		t.Run(test.name, func(t *testing.T) { within(t, play) })
+		t.Run(test.name+", under the same ids", func(t *testing.T) { withinShape(t, shape{sameID: 1}, play) })
 	}
 }
 
