--- /dev/null
+++ b/dispatch/carried_test.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/job"
+)
+
+// TestCarriedOver: a run that was under way to a worker when it crashed, and that its next start under the same id has carried out, is placed there with its
+// number and is not started elsewhere. One that the next start does not list is lost.
+func TestCarriedOver(t *testing.T) {
+	tests := []struct {
+		name string
+		gang bool
+		// list puts the run into the next start's poll.
+		list  func(p *assignment.Poll, id assignment.RunID)
+		run   int
+		there bool
+		phase job.Phase
+	}{
+		{"not listed", false, func(*assignment.Poll, assignment.RunID) {}, 2, true, job.Running},
+		{"running", false, func(p *assignment.Poll, id assignment.RunID) { p.Runs = []assignment.Run{{RunID: id, Percent: 3}} }, 1, true, job.Running},
+		{"done", false, func(p *assignment.Poll, id assignment.RunID) {
+			p.Ends = []assignment.End{{RunID: id, Number: 1, How: job.EndDone}}
+		}, 1, false, job.Completed},
+		{"failed for the last time", false, func(p *assignment.Poll, id assignment.RunID) {
+			p.Ends = []assignment.End{{RunID: id, Number: 1, How: job.EndFailed}}
+		}, 1, false, job.Failed},
+		{"an older run", false, func(p *assignment.Poll, id assignment.RunID) {
+			p.Runs = []assignment.Run{{RunID: assignment.RunID{Task: id.Task}, Percent: 3}}
+		}, 2, true, job.Running},
+		{"a member of a gang", true, func(p *assignment.Poll, id assignment.RunID) { p.Runs = []assignment.Run{{RunID: id, Percent: 3}} }, 1, true, job.Running},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 1, 1)
+			j := b.job(1, "other", job.Step{Tasks: 1, Gang: test.gang})
+			j.job.Attempts = 1
+			b.plan(0)
+			w, id, poll := b.reported(j)
+			former := w.life.ID
+			next := *w.life
+			next.ID.Born++
+			poll.Life, poll.Over = &next, []assignment.LifeEnd{{ID: former, Listed: true}}
+			test.list(&poll, id)
+			b.control.Report(b.now, poll)
+			b.plan(10 * time.Millisecond)
+			task := j.progress.Task(id.Task)
+			if j.progress.Phase != test.phase || task.Run != test.run || task.Placed() != test.there {
+				t.Errorf("the job is %v, its task in run %d, placed %v; want %v, %d, %v", j.progress.Phase, task.Run, task.Placed(), test.phase, test.run, test.there)
+			}
+			if test.there && task.Life != next.ID {
+				t.Errorf("it is placed on %v, want %v", task.Life, next.ID)
+			}
+			if stops := b.control.Wants(b.now)[w.name].Runs[id.Task].Stopping; stops != test.gang {
+				t.Errorf("it is to stop: %v, want %v", stops, test.gang)
+			}
+		})
+	}
+}
+
+// TestNumbersOfStarts: ends are counted anew for each start of a worker, also under one id.
+func TestNumbersOfStarts(t *testing.T) {
+	b := newFixture(t, 1, 1)
+	first := b.job(1, "other", job.Step{Tasks: 1})
+	b.plan(0)
+	w, id, poll := b.reported(first)
+	poll.Ends = []assignment.End{{RunID: id, Number: 9, How: job.EndDone}}
+	b.control.Report(b.now, poll)
+	if seen := b.control.Wants(b.now)[w.name].Seen; seen != 9 {
+		t.Fatalf("ends are kept up to %d, want 9", seen)
+	}
+	next := *w.life
+	next.ID.Born++
+	b.control.Report(b.now, assignment.Poll{Worker: w.name, Life: &next, Listed: true})
+	if want := b.control.Wants(b.now)[w.name]; want.Seen != 0 || want.Life != next.ID {
+		t.Errorf("of %v ends are kept up to %d, want none of %v", want.Life, want.Seen, next.ID)
+	}
+	second := b.job(1, "other", job.Step{Tasks: 1})
+	b.plan(0)
+	_, id, poll = b.reported(second)
+	poll.Ends = []assignment.End{{RunID: id, Number: 1, How: job.EndDone}}
+	b.control.Report(b.now, poll)
+	if second.progress.Phase != job.Completed {
+		t.Errorf("the job is %v, want completed: its end has number 1", second.progress.Phase)
+	}
+}
--- a/runner/listing.go
+++ b/runner/listing.go
@@ -13,13 +13,24 @@
 // listLoop asks the worker what it runs, again and again; an answer comes as soon as a run ends.
 func (r *Runner) listLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !r.list(ctx, listWait) {
+		if !r.list(ctx, r.nextWait()) {
 			r.fenceAwaited(ctx)
 			pause.For(ctx, retryPause)
 		}
 	}
 }
 
+// nextWait is how long the next listing may wait for an end. After a silence none waits: the answer says whether the worker is still in the same life,
+// and with a wait a new start under the same id was found a second late.
+func (r *Runner) nextWait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.failing.IsZero() {
+		return 0
+	}
+	return listWait
+}
+
 // extendLoop extends the lease when the leader has given a longer one, and has kept ends forgotten.
 func (r *Runner) extendLoop(ctx context.Context) {
 	for {
