--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -50,8 +50,10 @@
 	striker  *striker
 	// troubles is nil on a day without them.
 	troubles *troubles
-	random   *rand.Rand
-	broken   []string
+	// starts is nil on a day on which each start has a new id.
+	starts *starts
+	random *rand.Rand
+	broken []string
 }
 
 // errNotUp says that the processes did not come up.
@@ -75,6 +77,9 @@
 	if s.Troubled && !planned {
 		d.troubles = newTroubles(c, seed)
 	}
+	if s.SameIDs && !planned {
+		d.starts = newStarts(c, seed)
+	}
 	if !d.servesWithin(ctx, startTimeout) {
 		return report{}, errNotUp
 	}
@@ -111,6 +116,9 @@
 	if d.troubles != nil {
 		activities = append(activities, d.troubles.resize)
 	}
+	if d.starts != nil {
+		activities = append(activities, d.starts.strike)
+	}
 	done := make(chan struct{}, len(activities))
 	begin := func(f func(context.Context)) {
 		go func() {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -4,13 +4,15 @@
 // The users' platform is played by package platform/standin in this process. What the programs send to it and to each other
 // goes through links that are cut one way or both, slowed down and reset; processes are paused, killed, stopped and started
 // again by signals, in series and overlapping; the store goes down, is slow, and loses answers; workers crash, leave, go
-// silent and carry out orders late. On troubled days some tasks crash each worker that starts them, and workers' rooms shrink and grow.
+// silent and carry out orders late. On troubled days some tasks crash each worker that starts them, and workers' rooms shrink and grow. On days of same ids
+// workers start again under the ids that they had, all the time.
 //
 // # Usage
 //
 //	go build -o bin/ ./cmd/...
 //	bin/soak --program bin/yarrowgraded --seeds 10 --parallel 3
 //	bin/soak --program bin/yarrowgraded --seeds 10 --parallel 3 --troubled
+//	bin/soak --program bin/yarrowgraded --seeds 10 --parallel 3 --same-ids
 //	bin/soak --program bin/yarrowgraded --seed 7            one day again, with its logs in --logs
 //
 // A line for each day says what was broken. The same seed draws the same jobs and faults, but processes are scheduled by the
@@ -48,6 +50,7 @@
 	Entries  int           `help:"Entries of a day." default:"3"`
 	Workers  int           `help:"Workers of a day, each with its agent." default:"6"`
 	Troubled bool          `help:"Some tasks crash the workers that start them, and workers' rooms shrink and grow."`
+	SameIDs  bool          `help:"Workers start again under the ids that they had, all the time." name:"same-ids"`
 	Logs     string        `help:"Directory that keeps the logs of days that broke something." default:"soak-logs"`
 }
 
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -45,21 +45,34 @@
 	}
 }
 
-// TestTroubledSoak plays a short day on which, beside all other faults, tasks crash their workers and rooms shrink.
+// TestTroubledSoak plays a short day on which, beside all other faults, tasks crash their workers and rooms shrink, and one on which workers start
+// again under their ids as well.
 func TestTroubledSoak(t *testing.T) {
-	t.Parallel()
-	logs, troubled := t.TempDir(), small()
-	troubled.Troubled = true
-	report, err := playDay(t.Context(), troubled, 2, logs)
-	if err != nil {
-		t.Fatal(err)
+	tests := []struct {
+		name    string
+		sameIDs bool
+		seed    uint64
+	}{
+		{"troubled", false, 2},
+		{"same ids", true, 3},
 	}
-	t.Log(report.summary())
-	for _, b := range report.broken {
-		t.Error(b)
-	}
-	if t.Failed() {
-		printLogs(t, logs)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			logs, troubled := t.TempDir(), small()
+			troubled.Troubled, troubled.SameIDs = true, test.sameIDs
+			report, err := playDay(t.Context(), troubled, test.seed, logs)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(report.summary())
+			for _, b := range report.broken {
+				t.Error(b)
+			}
+			if t.Failed() {
+				printLogs(t, logs)
+			}
+		})
 	}
 }
 
