A refusal does not say which start has given it

A heartbeat of a new start under the same id is asked back at the worker; 429 or 503 from it, or a fence, was taken for a sign of the start that was known, so the new one's heartbeats counted as late ones for good, and its worker got nothing until the agent began anew.

Change: a refusal settles the question only between two ids.

--- a/runner/lives.go
+++ b/runner/lives.go
@@ -93,14 +93,17 @@
 			r.endLife(answer)
 		}
 		return r.life == nil || r.life.ID == l.ID
-	case answer == nil, errors.Is(answer, ErrFenced), errors.Is(answer, ErrBusy):
-		// The worker answered as the life that is known: the heartbeat is of one that has crashed.
+	case answer == nil, refused(answer) && !l.ID.SharesInstance(current.Life):
+		// The worker answered as the life that is known: the heartbeat is of one that has crashed. A refusal names no start, only the id.
 		r.former[l.ID] = true
 		r.parts.Logger.Info().Str("step", "runner.heartbeat").Stringer("life", l.ID).Stringer("current", current.Life).Msg("late heartbeat of a former life")
 	}
 	return false
 }
 
+// refused reports whether a worker with the id that was meant has answered, and refused the call.
+func refused(answer error) bool { return errors.Is(answer, ErrFenced) || errors.Is(answer, ErrBusy) }
+
 // errLeft is why the life ends of a worker that has said that it goes.
 var errLeft = errors.New("the worker has left")
 
--- a/runner/starts_test.go
+++ b/runner/starts_test.go
@@ -29,9 +29,11 @@
 	*jobtest.Worker
 	// garbles stands between the worker and the agent, if it is set.
 	garbles *garbling
-	mu      sync.Mutex
-	holds   []heldCall
-	starts  []time.Time
+	// busy says that it answers each call that it does nothing.
+	busy   bool
+	mu     sync.Mutex
+	holds  []heldCall
+	starts []time.Time
 }
 
 func (w *recorder) Hold(ctx context.Context, o runner.Order, until, seen int64, wait time.Duration) (runner.Listing, int64, error) {
@@ -41,7 +43,11 @@
 	if w.garbles != nil {
 		hold = w.garbles.Hold
 	}
+	busy := w.busy
 	w.mu.Unlock()
+	if busy {
+		return runner.Listing{}, 0, runner.ErrBusy
+	}
 	listing, clock, err := hold(ctx, o, until, seen, wait)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -225,6 +231,26 @@
 	})
 }
 
+// TestBusyStart: a refusal does not say which start has given it, so the report of a new start that does nothing yet is not taken for a late one for good.
+func TestBusyStart(t *testing.T) {
+	withRestarts(t, func(t *testing.T, a *restarting) {
+		setBusy := func(busy bool) {
+			a.recorder.mu.Lock()
+			defer a.recorder.mu.Unlock()
+			a.recorder.busy = busy
+		}
+		setBusy(true)
+		a.worker.CrashProcess(100 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		present := a.beat(t)
+		setBusy(false)
+		time.Sleep(time.Second)
+		if !a.runner.Heartbeat(t.Context(), present) {
+			t.Error("the report of the new start is not taken once it answers")
+		}
+	})
+}
+
 // TestFirstReportOfAnother: an agent that has heard nothing before takes a report of a former start for the worker's, until the list says better.
 func TestFirstReportOfAnother(t *testing.T) {
 	withRestarts(t, func(t *testing.T, a *restarting) {
