Operators see each start of a worker, with when it started

Cause: two starts under one id were one line in `job workers`.

Change: the leader keeps the last five lives of a worker; `job workers` has a line for each, with the instance and when it started; GET /v1/workers has `life` and `former`.

Measured: leader.TestWorkerList, with a new start under the same id.

--- a/cmd/yarrowgrade/job.go
+++ b/cmd/yarrowgrade/job.go
@@ -10,6 +10,7 @@
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/leader"
+	"yarrowgrade.example/yarrowgrade/life"
 )
 
 const jobUsage = `
@@ -130,14 +131,25 @@
 		return err
 	}
 	return s.print(list, func(w io.Writer) {
-		fmt.Fprintln(w, "WORKER\tZONE\tRACK\tSERVICE\tSTATE\tCORES\tMEMORY_MB\tACCELERATORS\tRUNS\tCORDONED")
+		fmt.Fprintln(w, "WORKER\tINSTANCE\tSTARTED\tZONE\tRACK\tSERVICE\tSTATE\tCORES\tMEMORY_MB\tACCELERATORS\tRUNS\tCORDONED")
 		for _, v := range list {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.1f\t%d\t%d\t%d\t%s\n", v.Worker, v.Zone, v.Rack, v.Service, workerStateText(v),
-				float64(v.Room.CPU)/1000, v.Room.Memory, v.Room.Accelerators, v.Runs, cordonText(v.Cordon))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.1f\t%d\t%d\t%d\t%s\n", v.Worker, v.Life.Instance, startedText(v.Life), v.Zone, v.Rack, v.Service,
+				workerStateText(v), float64(v.Room.CPU)/1000, v.Room.Memory, v.Room.Accelerators, v.Runs, cordonText(v.Cordon))
+			for _, former := range v.Former {
+				fmt.Fprintf(w, "%s\t%s\t%s\t\t\t\tover\t\t\t\t\t\n", v.Worker, former.Instance, startedText(former))
+			}
 		}
 	})
 }
 
+// startedText says when a life of a worker began, "-" if the worker does not say it.
+func startedText(id life.ID) string {
+	if id.Started().IsZero() {
+		return "-"
+	}
+	return id.Started().UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
 func workerStateText(v leader.WorkerStatus) string {
 	switch {
 	case v.Silent:
--- a/leader/leases.go
+++ b/leader/leases.go
@@ -8,6 +8,7 @@
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
+	"yarrowgrade.example/yarrowgrade/life"
 	"yarrowgrade.example/yarrowgrade/suspend"
 )
 
@@ -21,6 +22,9 @@
 	// poll is the newest one; news says that the leading goroutine has not seen it yet.
 	poll assignment.Poll
 	news bool
+	// life is the newest that a poll has listed, formerLives those before it, the newest first.
+	life        life.ID
+	formerLives []life.ID
 	// granted is when the newest answer with a lease was sent.
 	granted time.Time
 	// expired says that the leading goroutine counts on the last lease being over: until it has published what follows from
@@ -153,6 +157,7 @@
 		return true
 	}
 	p.sequence, p.poll, p.news = poll.Sequence, poll, true
+	p.noteLife(poll)
 	select {
 	case l.news <- struct{}{}:
 	default:
--- a/leader/leases_test.go
+++ b/leader/leases_test.go
@@ -288,6 +288,13 @@
 		if !ok || len(list) != 1 || list[0].Worker != "w" || list[0].Runs != 1 || list[0].Cordon == nil || list[0].Cordon.Revision != 7 {
 			t.Errorf("got %+v, %v", list, ok)
 		}
+		next := inZone
+		next.ID.Born++
+		p.Sequence, p.Life = 2, &next
+		ask(t, l, p)
+		if list, _ := l.workers(); list[0].Life != next.ID || len(list[0].Former) != 1 || list[0].Former[0] != inZone.ID {
+			t.Errorf("after a new start under the same id: %+v", list)
+		}
 		l.close()
 		if list, ok := l.workers(); ok {
 			t.Errorf("an entry that does not lead lists %+v", list)
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 
+	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/jsonhttp"
@@ -30,6 +31,23 @@
 	Runs int `json:"runs"`
 	// Cordon is that of its zone, nil if the zone is open.
 	Cordon *catalog.Cordon `json:"cordon,omitempty"`
+	// Former are lives of the worker that are over, the newest first, as far as this leader has seen them.
+	Former []life.ID `json:"former,omitempty"`
+}
+
+// mostFormer is how many former lives of a worker are remembered for operators.
+const mostFormer = 5
+
+// noteLife keeps the life that a poll lists for operators. The lock must be held.
+func (p *agentLease) noteLife(poll assignment.Poll) {
+	if poll.Life == nil || !poll.Listed || p.life == poll.Life.ID {
+		return
+	}
+	if !p.life.IsZero() {
+		p.formerLives = slices.Insert(p.formerLives, 0, p.life)
+		p.formerLives = p.formerLives[:min(len(p.formerLives), mostFormer)]
+	}
+	p.life = poll.Life.ID
 }
 
 // ServeWorkers lists the workers, or says where the leader is.
@@ -57,7 +75,7 @@
 		}
 		s := WorkerStatus{
 			Worker: name, Life: present.ID, Zone: present.Zone, Rack: present.Rack, Service: present.Service,
-			Leaving: present.Leaving, Silent: p.poll.Silent, Room: present.Room, Runs: len(p.poll.Runs),
+			Leaving: present.Leaving, Silent: p.poll.Silent, Room: present.Room, Runs: len(p.poll.Runs), Former: slices.Clone(p.formerLives),
 		}
 		if cordon, cordoned := cordons[present.Zone]; cordoned {
 			s.Cordon = &cordon
--- a/life/life.go
+++ b/life/life.go
@@ -15,6 +15,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // ID names one life of a worker. The zero value names none.
@@ -59,6 +60,14 @@
 	return nil
 }
 
+// Started is when the worker started, by its own time of day; zero if it does not say it.
+func (id ID) Started() time.Time {
+	if id.Born == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(id.Born)
+}
+
 // SharesInstance reports whether two lives, which may be one, have the id on the platform in common. A call that names the instance reaches
 // either.
 func (id ID) SharesInstance(other ID) bool { return id.Instance == other.Instance }
