Nothing is placed on a life that is over before its end is told

The end of a life is held back until the next one has listed; meanwhile the leader took the life for live and placed the task's next run there. That one was given up too, and as there is one open life a task, its giving up took the place of the run that had crashed the worker, so that crash was never counted.

Change: polls name lives that are over and not told yet; nothing is placed there. An open life keeps the run that had begun.

Measured: dispatch.TestClosingLife and job.TestOpenLifeIsKept fail before and pass after; mutations placed-on-closing-life and open-life-replaced are caught.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -139,6 +139,8 @@
 	Refused []Refusal `json:"refused,omitempty"`
 	// Over lists lives of which nothing runs any more.
 	Over []LifeEnd `json:"lives_over,omitempty"`
+	// Closing lists lives that are over and that Over does not tell yet, since orders for them may still have an effect. Nothing is to be placed there.
+	Closing []life.ID `json:"lives_closing,omitempty"`
 	// Silent says that the worker gives no answer: nothing more should be placed on it, and nothing can be extended.
 	Silent bool `json:"silent,omitempty"`
 	// FailingMillis is for how long the worker has given no answer; zero while it does.
--- a/dispatch/carried_test.go
+++ b/dispatch/carried_test.go
@@ -6,6 +6,7 @@
 
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/life"
 )
 
 // TestCarriedOver: a run that was under way to a worker when it crashed, and that its next start under the same id has carried out, is placed there with its
@@ -87,3 +88,28 @@
 		t.Errorf("the job is %v, want completed: its end has number 1", second.progress.Phase)
 	}
 }
+
+// TestClosingLife: nothing is placed on a life that is over, also before its end is told.
+//
+// Users' rule on tasks that crash workers was broken once in a soak (seed 9217, days of same ids): a run was given up on a silent worker, whose crash was to be counted once
+// it was back; its agent knew that the life was over and did not tell it yet, the next run of the task was placed on that life, and given up too; the second
+// giving up took the place of the first, so the crash under the first run was never counted, and the task got one start too many.
+func TestClosingLife(t *testing.T) {
+	b := newFixture(t, 1, 1)
+	j := b.job(1, "other", job.Step{Tasks: 1})
+	w := b.control.workers["w0-0"]
+	poll := assignment.Poll{Worker: w.name, Closing: []life.ID{w.life.ID}}
+	b.control.Report(b.now, poll)
+	b.plan(0)
+	if got := b.at(j); len(got) != 0 {
+		t.Errorf("it is placed on %v, whose life is over", got)
+	}
+	next := *w.life
+	next.ID.Born++
+	poll.Closing, poll.Life, poll.Listed, poll.Over = nil, &next, true, []assignment.LifeEnd{{ID: w.life.ID}}
+	b.control.Report(b.now, poll)
+	b.plan(10 * time.Millisecond)
+	if got := b.at(j); len(got) != 1 {
+		t.Errorf("it is placed on %v, want the next life of the worker", got)
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -145,7 +145,7 @@
 		n := &node{worker: w, free: w.life.Room, later: w.life.Room}
 		silent := w.silent || p.now.Sub(w.heard) > p.c.settings.Silent
 		n.closed = cordons.Has(w.life.Zone)
-		n.usable = !silent && !w.life.Leaving && !n.closed && !w.health.quarantined(p.now)
+		n.usable = !silent && !w.closing && !w.life.Leaving && !n.closed && !w.health.quarantined(p.now)
 		p.nodes = append(p.nodes, n)
 		p.byName[w.name] = n
 	}
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/assignment"
@@ -21,10 +22,12 @@
 func (c *Controller) Report(now time.Time, poll assignment.Poll) {
 	w := c.workerOf(poll.Worker)
 	w.heard, w.silent, w.failing = now, poll.Silent, time.Time{}
+	w.closing = w.life != nil && slices.Contains(poll.Closing, w.life.ID)
 	if poll.FailingMillis > 0 {
 		w.failing = now.Add(-time.Duration(poll.FailingMillis) * time.Millisecond)
 	}
 	if poll.Life != nil && poll.Listed {
+		w.closing = false
 		c.reportLife(now, w, poll)
 	}
 	for _, end := range poll.Over {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -40,6 +40,8 @@
 	name string
 	// life is nil until the agent has reported one.
 	life *assignment.Life
+	// closing says that its agent knows the life to be over, and that its end is not told yet.
+	closing bool
 	// heard is when the newest poll was taken.
 	heard time.Time
 	// leaves is the earliest time at which a leaving worker goes.
--- a/job/crashes.go
+++ b/job/crashes.go
@@ -146,6 +146,10 @@
 		if t.Open == nil {
 			t.Open = map[life.ID]openLife{}
 		}
+		if t.Open[at].Begun {
+			// A later run that was placed on a life of which nothing was heard any more says nothing of the one that had begun there.
+			return
+		}
 		t.Open[at] = openLife{Worker: worker, Run: t.Run, Begun: l.Fate == Open, Silent: l.Silent, At: l.At}
 	}
 }
--- a/job/crashes_test.go
+++ b/job/crashes_test.go
@@ -132,3 +132,26 @@
 		})
 	}
 }
+
+// TestOpenLifeIsKept: of two runs that were given up on one life, the one that had begun is judged: its worker may have crashed under it.
+func TestOpenLifeIsKept(t *testing.T) {
+	j := &Job{ID: "0000000000000001", Steps: []Step{{Tasks: 1, Need: Need{CPU: 1}}}}
+	p, name := NewProgress(), TaskName{Job: j.ID}
+	for run, fate := range []Fate{Open, OpenDoubtful} {
+		p.Assign(time.Now(), name, run+1, "w", present)
+		if !p.Lose(j, name, run+1, present, Loss{Fate: fate, At: time.Now()}) {
+			t.Fatalf("run %d was not there", run+1)
+		}
+	}
+	judged := 0
+	p.Judge(j, present, func(_ TaskName, run int, begun bool) Loss {
+		judged = run
+		if !begun {
+			t.Errorf("run %d is judged as one that had not begun", run)
+		}
+		return Loss{Fate: Crashed}
+	})
+	if judged != 1 || p.Task(name).Crashes != 1 {
+		t.Errorf("run %d is judged, %d crashes are counted; want run 1 and one", judged, p.Task(name).Crashes)
+	}
+}
--- a/runner/lives.go
+++ b/runner/lives.go
@@ -275,6 +275,17 @@
 	return ends
 }
 
+// livesClosing lists those that are over and that the present poll does not tell. The lock must be held.
+func (r *Runner) livesClosing() []life.ID {
+	var closing []life.ID
+	for id, e := range r.over {
+		if e.since == 0 {
+			closing = append(closing, id)
+		}
+	}
+	return closing
+}
+
 // heardBy reports whether the poll with a number told it.
 func (e lifeEnd) heardBy(poll int64) bool { return e.since != 0 && e.since <= poll }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -263,7 +263,7 @@
 	r.sequence++
 	p := assignment.Poll{
 		Worker: r.settings.Name, Agent: r.settings.Agent, Sequence: r.sequence, Term: r.term, Listed: r.listed,
-		Seen: r.seen, Wait: wait, Silent: r.life != nil && time.Since(r.answers) > silentAfter, Over: r.livesOver(),
+		Seen: r.seen, Wait: wait, Silent: r.life != nil && time.Since(r.answers) > silentAfter, Over: r.livesOver(), Closing: r.livesClosing(),
 		FailingMillis: r.failingFor().Milliseconds(),
 	}
 	if r.life != nil {
--- a/runner/starts_test.go
+++ b/runner/starts_test.go
@@ -164,8 +164,8 @@
 		former := a.beat(t)
 		a.worker.CrashProcess(200 * time.Millisecond)
 		time.Sleep(500 * time.Millisecond)
-		if p := a.leader.last(); len(p.Over) != 0 {
-			t.Errorf("before the next start reports, the ends %+v are told", p.Over)
+		if p := a.leader.last(); len(p.Over) != 0 || len(p.Closing) != 1 || p.Closing[0] != former.ID {
+			t.Errorf("before the next start reports, the ends %+v are told, and closing %v", p.Over, p.Closing)
 		}
 		a.beat(t)
 		time.Sleep(500 * time.Millisecond)
