What a worker lists and is not placed there takes room until it is gone

The decision counted only what is placed.

Change: runs that a worker lists and that are not placed there are taken off its room. A noted end takes its run off the list at once. The soak's agents have the zone of their worker: every first heartbeat of a start counted as odd there.

Measured: dispatch.TestStrayTakesRoom fails before and passes after; mutation stray-takes-no-room is caught.

--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -198,7 +199,7 @@
 	if b.store, err = c.link(c.store); err != nil {
 		return err
 	}
-	boot := standin.Boot{IP: ip, Port: innerPort, Heartbeats: at(ip, heartbeatsPort), Worker: b.worker.Address()}
+	boot := standin.Boot{IP: ip, Port: innerPort, Zone: zoneOf(i), Heartbeats: at(ip, heartbeatsPort), Worker: b.worker.Address()}
 	if err := c.launch(b, boot, "job-agent"); err != nil {
 		return err
 	}
@@ -209,7 +210,7 @@
 
 // launch writes the settings of a process and starts it.
 func (c *cluster) launch(b *box, boot standin.Boot, args ...string) error {
-	boot.Node, boot.Zone, boot.Store = b.name, "zone", b.store.Address()
+	boot.Node, boot.Zone, boot.Store = b.name, cmp.Or(boot.Zone, zoneOf(0)), b.store.Address()
 	boot.Lease, boot.Revoke, boot.Grace = lease, revoke, grace
 	data, err := boot.Encode()
 	if err != nil {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/life"
 )
@@ -198,6 +199,7 @@
 		})
 	}
 	p.alignGangs()
+	p.addStrays()
 	for _, n := range p.nodes {
 		if n.health.onProbation() && len(n.runs) > 0 {
 			n.usable = false
@@ -205,6 +207,24 @@
 	}
 }
 
+// addStrays takes the room of runs off that workers list and that are not placed there: orders that came late to a new start under the same id. They are told to
+// stop, and take room until they have; a worker that does not guard its room would hold more than it has.
+func (p *plan) addStrays() {
+	for _, n := range p.nodes {
+		for id := range n.worker.runs {
+			if t := p.c.jobs[id.Task.Job]; t != nil && id.Task.Step < len(t.job.Steps) && !isPlacedOn(t, n, id) {
+				n.take(t.job.Steps[id.Task.Step].Reserved())
+			}
+		}
+	}
+}
+
+// isPlacedOn reports whether a run is placed on the present life of a node's worker.
+func isPlacedOn(t *tracked, n *node, id assignment.RunID) bool {
+	task := t.progress.Task(id.Task)
+	return task != nil && task.Placed() && task.Run == id.Run && task.Life == n.life.ID
+}
+
 // addRun lists a run with its node, and with its gang if it is part of one.
 func (p *plan) addRun(r *running) {
 	r.node.runs = append(r.node.runs, r)
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -161,14 +161,26 @@
 // endTask takes note of the end of a run on a life of a worker. It returns false if that run is not there.
 func (c *Controller) endTask(t *tracked, at life.ID, e assignment.End) bool {
 	before := t.progress.Phase
+	w := c.workers[placedOn(t, e.Task)]
 	if !t.progress.End(t.job, e.Task, e.Run, at, e.How, e.Saved) {
 		return false
 	}
+	if w != nil {
+		delete(w.runs, e.RunID)
+	}
 	c.noteEnd(t, e)
 	c.notePhase(t, before)
 	return true
 }
 
+// placedOn names the worker on which a task is placed; it is empty if it is not.
+func placedOn(t *tracked, name job.TaskName) string {
+	if task := t.progress.Task(name); task != nil {
+		return task.Worker
+	}
+	return ""
+}
+
 // noteEnd counts and logs the end of a run that has been taken note of.
 func (c *Controller) noteEnd(t *tracked, e assignment.End) {
 	t.dirty = true
