The end of a run that had been given up counts

Cause: an order that came late after a second start of a worker ran a task that had been given up there and placed elsewhere. The same holds for a worker that was silent until its lease was over and then lists what had ended before.

Change: the runs of a task that were given up are kept with its progress, eight at the most. If one turns out to be done, the task is done and what runs of it is stopped; a failure counts as one attempt, once for a gang.

--- a/dispatch/carried_test.go
+++ b/dispatch/carried_test.go
@@ -142,3 +142,48 @@
 		t.Errorf("once the stray run is gone it is placed on %v, want the worker", got)
 	}
 }
+
+// TestLateEnd: what has ended done is done, also if its run had been given up meanwhile and placed elsewhere, and a failure counts. A worker fell silent, its run was
+// given up when its lease was over and its task began elsewhere; then the worker answered again, and listed the end. The end was read, and the task went on
+// elsewhere and was done twice (drawn days of starts under one id, seed 3031: an order that came late after a second start).
+func TestLateEnd(t *testing.T) {
+	tests := []struct {
+		name     string
+		how      job.Ending
+		phase    job.Phase
+		failures int
+		stops    bool
+	}{
+		{"done", job.EndDone, job.Completed, 0, true},
+		{"failed", job.EndFailed, job.Running, 1, false},
+		{"stopped", job.EndStopped, job.Running, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 1, 2)
+			j := b.job(1, "other", job.Step{Tasks: 1})
+			b.plan(0)
+			w, id, poll := b.reported(j)
+			poll.Runs = []assignment.Run{{RunID: id, Percent: 3}}
+			b.control.Report(b.now, poll)
+			b.control.LeaseOver(map[string]bool{w.name: true})
+			b.plan(0)
+			task := j.progress.Task(id.Task)
+			if task.Run != 2 {
+				t.Fatalf("the task is in run %d, want 2", task.Run)
+			}
+			poll.Runs, poll.Ends = nil, []assignment.End{{RunID: id, Number: 1, How: test.how}}
+			for range 2 {
+				// A new leader reads an end again that is kept and not forgotten.
+				b.control.Report(b.now, poll)
+				w.ends = 0
+			}
+			if j.progress.Phase != test.phase || task.Failures != test.failures {
+				t.Errorf("the job is %v with %d failures, want %v with %d", j.progress.Phase, task.Failures, test.phase, test.failures)
+			}
+			if stops := b.control.Wants(b.now)[task.Worker].Runs[id.Task].Stopping; stops != test.stops {
+				t.Errorf("run 2 is to stop: %v, want %v", stops, test.stops)
+			}
+		})
+	}
+}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -21,6 +21,8 @@
 	givenUp telemetry.Counters[string]
 	// carriedOver counts runs that a later start of their worker carried out.
 	carriedOver tally.Counter
+	// late counts ends of runs that had been given up.
+	late tally.Counter
 
 	scope   tally.Scope
 	workers tally.Gauge
@@ -63,8 +65,8 @@
 		lostWork:    telemetry.NewCounters(scope, "work_lost_core_s", "cause", lossCauses()...),
 		crashes:     telemetry.NewCounters(scope, "crashes_under_tasks", "certainty", crashSure, crashDoubtful),
 		givenUp:     telemetry.NewCounters(scope, "jobs_given_up", "why", gaveUpFailed, gaveUpCrashes),
-		carriedOver: scope.Counter("runs_carried_over"),
-		scope:       scope, workers: scope.Gauge("workers"), free: scope.Gauge("accelerators_free"),
+		carriedOver: scope.Counter("runs_carried_over"), late: scope.Counter("ends_of_given_up_runs"),
+		scope: scope, workers: scope.Gauge("workers"), free: scope.Gauge("accelerators_free"),
 		cordoned: scope.Gauge("zones_cordoned"), left: scope.Gauge("runs_in_cordoned_zones"),
 		waiting: map[string]tally.Gauge{}, held: map[string]tally.Gauge{},
 	}
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -145,7 +145,11 @@
 // end takes note of the end of a run on the worker's present life. It returns false if that run is not there.
 func (c *Controller) end(w *worker, e assignment.End) bool {
 	t := c.jobs[e.Task.Job]
-	if t == nil || !c.endTask(t, w.life.ID, e) {
+	if t == nil {
+		return false
+	}
+	if !c.endTask(t, w.life.ID, e) {
+		c.endLate(t, w, e)
 		return false
 	}
 	now := time.Now()
@@ -158,6 +162,25 @@
 	return true
 }
 
+// endLate takes note of the end of a run that is not placed there any more. Once read, an end must count: a task that was done on a worker that had been given up
+// was done once more elsewhere (2 of 60 drawn days of starts under one id).
+func (c *Controller) endLate(t *tracked, w *worker, e assignment.End) {
+	before := t.progress.Phase
+	if !t.progress.EndLate(t.job, e.Task, e.Run, e.How) {
+		return
+	}
+	t.dirty = true
+	c.metrics.late.Inc(1)
+	c.logger.Warn().Str("step", "dispatch.end").Stringer("task", e.Task).Int("run", e.Run).Str("how", string(e.How)).Str("worker", w.name).
+		Msg("run that had been given up has ended")
+	t.progress.Placed(t.job.ID, func(name job.TaskName, placed *job.Task) {
+		if placed.Done && firstOf(name) == firstOf(e.Task) {
+			t.stopping[name] = placed.Run
+		}
+	})
+	c.notePhase(t, before)
+}
+
 // endTask takes note of the end of a run on a life of a worker. It returns false if that run is not there.
 func (c *Controller) endTask(t *tracked, at life.ID, e assignment.End) bool {
 	before := t.progress.Phase
--- a/job/crashes_test.go
+++ b/job/crashes_test.go
@@ -155,3 +155,52 @@
 		t.Errorf("run %d is judged, %d crashes are counted; want run 1 and one", judged, p.Task(name).Crashes)
 	}
 }
+
+// TestEndLate: of a run that was given up, the end counts once: done for good, failed as one attempt, also for all of a gang and after a new leader has read it again.
+func TestEndLate(t *testing.T) {
+	tests := []struct {
+		name     string
+		step     Step
+		run      int
+		how      Ending
+		noted    bool
+		phase    Phase
+		failures int
+	}{
+		{"done", Step{Tasks: 1}, 1, EndDone, true, Completed, 0},
+		{"done, a gang", Step{Tasks: 3, Gang: true}, 1, EndDone, true, Completed, 0},
+		{"failed", Step{Tasks: 1}, 1, EndFailed, true, Running, 1},
+		{"failed, a gang", Step{Tasks: 3, Gang: true}, 1, EndFailed, true, Running, 1},
+		{"a run that there never was", Step{Tasks: 1}, 3, EndDone, false, Running, 0},
+		{"stopped", Step{Tasks: 1}, 1, EndStopped, false, Running, 0},
+		{"lasts", Step{Tasks: 1, Lasts: true}, 1, EndDone, false, Running, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := &Job{ID: "0000000000000001", Attempts: 3, Steps: []Step{test.step}}
+			p := NewProgress()
+			for _, name := range j.stepNames(0, 0) {
+				p.Assign(time.Now(), name, 1, "w", present)
+				p.Lose(j, name, 1, present, Loss{Fate: Open, At: time.Now()})
+				p.Assign(time.Now(), name, 2, "v", present)
+			}
+			name := TaskName{Job: j.ID}
+			if got := p.EndLate(j, name, test.run, test.how); got != test.noted {
+				t.Errorf("it was noted: %v, want %v", got, test.noted)
+			}
+			data, err := p.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if p, err = DecodeProgress(data); err != nil {
+				t.Fatal(err)
+			}
+			if p.EndLate(j, name, test.run, test.how) {
+				t.Error("it was noted twice")
+			}
+			if p.Phase != test.phase || p.Task(name).Failures != test.failures {
+				t.Errorf("the job is %v with %d failures, want %v with %d", p.Phase, p.Task(name).Failures, test.phase, test.failures)
+			}
+		})
+	}
+}
--- a/job/progress.go
+++ b/job/progress.go
@@ -113,6 +113,8 @@
 	Failures  int  `json:"f,omitempty"`
 	FailedRun int  `json:"fr,omitempty"`
 	Done      bool `json:"d,omitempty"`
+	// GivenUp holds the newest runs of which nobody knows how they ended: their worker was gone, or the run from its list.
+	GivenUp []int `json:"gu,omitempty"`
 	// Saved is the newest checkpoint; it is opaque.
 	Saved string `json:"s,omitempty"`
 	// Avoid is the worker on which it last failed.
@@ -200,6 +202,7 @@
 	if !t.Placed() {
 		p.placed = append(p.placed, placedTask{slot: slot{name.Round, name.Step, name.Index}, task: t})
 	}
+	t.known(run)
 	t.Run, t.Worker, t.Life = run, worker, l
 	if p.Phase == Queued {
 		p.Phase = Running
@@ -239,6 +242,54 @@
 	return p.end(j, name, run, l, ending{how: how, saved: saved})
 }
 
+// mostGivenUp bounds the runs of a task that are remembered as given up. Ends are read within seconds once their worker can be reached.
+const mostGivenUp = 8
+
+// giveUp notes that nobody knows how a run ended.
+func (t *Task) giveUp(run int) {
+	t.GivenUp = append(t.GivenUp, run)
+	if excess := len(t.GivenUp) - mostGivenUp; excess > 0 {
+		t.GivenUp = slices.Clone(t.GivenUp[excess:])
+	}
+}
+
+// known notes that it is known what became of a run that had been given up.
+func (t *Task) known(run int) {
+	t.GivenUp = slices.DeleteFunc(t.GivenUp, func(r int) bool { return r == run })
+}
+
+// EndLate takes note of the end of a run that had been given up: its worker was silent until its lease was over, or a later start of it carried the run out. A task
+// is done whichever of its runs did it, and a failure counts as one attempt. It returns false, and changes nothing, for all other
+// ends, and for what had been noted.
+func (p *Progress) EndLate(j *Job, name TaskName, run int, how Ending) bool {
+	t := p.Task(name)
+	if t == nil || t.Done || !slices.Contains(t.GivenUp, run) || p.Phase.Final() || name.Step >= len(j.Steps) || j.Steps[name.Step].Lasts {
+		return false
+	}
+	members := []TaskName{name}
+	if j.Steps[name.Step].Gang {
+		members = j.stepNames(name.Round, name.Step)
+	}
+	switch {
+	case how == EndDone:
+		for _, m := range members {
+			p.touch(m).Done = true
+		}
+	case how == EndFailed:
+		for _, m := range members {
+			p.touch(m).Failures++
+		}
+	default:
+		return false
+	}
+	for _, m := range members {
+		// Other members of the gang list the same end.
+		p.touch(m).known(run)
+	}
+	p.settle(j)
+	return true
+}
+
 func (p *Progress) end(j *Job, name TaskName, run int, at life.ID, e ending) bool {
 	t := p.Task(name)
 	if t == nil || !t.Placed() || t.Run != run || t.Life != at || name.Step >= len(j.Steps) {
@@ -254,6 +305,8 @@
 		members = j.stepNames(name.Round, name.Step)
 	}
 	switch e.how {
+	case EndLost:
+		t.giveUp(run)
 	case EndDone:
 		if step.Lasts {
 			break
@@ -263,6 +316,7 @@
 		}
 	case EndRefused:
 		t.takeBackStart()
+		t.giveUp(run)
 	case EndFailed:
 		t.Avoid = worker
 		p.fail(members, run, step)
