--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/life"
 )
@@ -172,89 +171,6 @@
 	r.free += n.free.Accelerators
 }
 
-// addRuns takes what runs off the workers' room.
-func (p *plan) addRuns() {
-	placed := 0
-	for _, t := range p.c.jobs {
-		placed += t.progress.PlacedTasks()
-	}
-	// All runs of a decision are made at once: at the design size there are 14,000.
-	runs := make([]running, 0, placed)
-	for id, t := range p.c.jobs {
-		t.progress.Placed(id, func(name job.TaskName, task *job.Task) {
-			n := p.byName[task.Worker]
-			if n == nil || n.life.ID != task.Life {
-				return
-			}
-			step := &t.job.Steps[name.Step]
-			runs = append(runs, running{tracked: t, name: name, run: task.Run, node: n, need: step.Reserved()})
-			r := &runs[len(runs)-1]
-			r.stopping = task.Done || t.stopping[name] == task.Run || t.progress.Phase.Final()
-			p.estimate(r, step)
-			p.addRun(r)
-			n.take(r.need)
-			if !r.stopping {
-				n.later = n.later.Plus(r.need, -1)
-			}
-		})
-	}
-	p.alignGangs()
-	p.addStrays()
-	for _, n := range p.nodes {
-		if n.health.onProbation() && len(n.runs) > 0 {
-			n.usable = false
-		}
-	}
-}
-
-// addStrays takes the room of runs off that workers list and that are not placed there: orders that came late to a new start under the same id. They are told to
-// stop, and take room until they have; a worker that does not guard its room would hold more than it has.
-func (p *plan) addStrays() {
-	for _, n := range p.nodes {
-		for id := range n.worker.runs {
-			if t := p.c.jobs[id.Task.Job]; t != nil && id.Task.Step < len(t.job.Steps) && !isPlacedOn(t, n, id) {
-				n.take(t.job.Steps[id.Task.Step].Reserved())
-			}
-		}
-	}
-}
-
-// isPlacedOn reports whether a run is placed on the present life of a node's worker.
-func isPlacedOn(t *tracked, n *node, id assignment.RunID) bool {
-	task := t.progress.Task(id.Task)
-	return task != nil && task.Placed() && task.Run == id.Run && task.Life == n.life.ID
-}
-
-// addRun lists a run with its node, and with its gang if it is part of one.
-func (p *plan) addRun(r *running) {
-	r.node.runs = append(r.node.runs, r)
-	if r.tracked.job.Steps[r.name.Step].Gang {
-		first := firstOf(r.name)
-		p.gangs[first] = append(p.gangs[first], r)
-	}
-}
-
-// alignGangs lets the members of a gang end together, with the last of them.
-func (p *plan) alignGangs() {
-	for _, members := range p.gangs {
-		var last time.Time
-		for _, r := range members {
-			if r.ends.After(last) {
-				last = r.ends
-			}
-		}
-		for _, r := range members {
-			r.ends = last
-		}
-	}
-}
-
-// firstOf names the first task of a task's step and round.
-func firstOf(name job.TaskName) job.TaskName {
-	name.Index = 0
-	return name
-}
-
 // estimate guesses when a run ends and what a stop would lose.
 func (p *plan) estimate(r *running, step *job.Step) {
 	length := p.c.length(r.tracked, r.name.Step)
--- a/jobtest/starts_test.go
+++ b/jobtest/starts_test.go
@@ -90,33 +90,29 @@
 
 // TestSystemOfSameIDs plays drawn days as TestSystem does, with workers most of which start again under the id that they had.
 func TestSystemOfSameIDs(t *testing.T) {
-	for n := range *seeds {
-		seed := *firstSeed + uint64(n)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				s := newSystem(ctx, t, seed, shape{sameID: sameIDShare})
-				s.play()
-				s.check()
-				cancel()
-				time.Sleep(30 * time.Second)
-			})
-		})
-	}
+	playDrawn(t, shape{sameID: sameIDShare}, func(*system, uint64) {})
 }
 
 // TestSystemOfManyStarts plays drawn days on which workers start again under their id all the time: while orders to them are late, behind cuts, several times
 // within a second, by the rack, and together with their agents and the leader.
 func TestSystemOfManyStarts(t *testing.T) {
+	playDrawn(t, shape{sameID: 0.9}, func(s *system, seed uint64) {
+		striking, calm := context.WithCancel(s.ctx)
+		go s.strikeStarts(striking, rand.New(rand.NewPCG(seed, 4)))
+		time.AfterFunc(20*time.Second, calm)
+	})
+}
+
+// playDrawn plays drawn days with systems of a shape. Begin is called as each begins.
+func playDrawn(t *testing.T, sh shape, begin func(s *system, seed uint64)) {
+	t.Helper()
 	for n := range *seeds {
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				s := newSystem(ctx, t, seed, shape{sameID: 0.9})
-				striking, calm := context.WithCancel(ctx)
-				go s.strikeStarts(striking, rand.New(rand.NewPCG(seed, 4)))
-				time.AfterFunc(20*time.Second, calm)
+				s := newSystem(ctx, t, seed, sh)
+				begin(s, seed)
 				s.play()
 				s.check()
 				t.Logf("%d starts, %d of them strays", s.workers.Starts, s.workers.Strays)
