--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -510,6 +510,9 @@
 		a.leader.mu.Unlock()
 		time.Sleep(3900 * time.Millisecond)
 		a.worker.SetUnreachable(false)
+		// Its room is known anew, so that only the proof of the zone holds the order back.
+		said, _ := a.worker.Beat()
+		a.runner.Heartbeat(t.Context(), said)
 		time.Sleep(20 * time.Second)
 		if a.workers.Starts > 0 {
 			t.Errorf("%d runs started", a.workers.Starts)
@@ -531,6 +534,8 @@
 		a.leader.mu.Unlock()
 		suspended.Add(int64(lease))
 		a.worker.SetUnreachable(false)
+		said, _ := a.worker.Beat()
+		a.runner.Heartbeat(t.Context(), said)
 		time.Sleep(20 * time.Second)
 		if a.workers.Starts > 0 {
 			t.Errorf("%d runs started", a.workers.Starts)
