--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -496,23 +496,31 @@
 	}
 }
 
+// takeOrderInHand leaves the agent with an order that it can't carry out, since its worker can't be reached, and without a leader.
+func (a *agent) takeOrderInHand() {
+	a.worker.SetUnreachable(true)
+	a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
+	time.Sleep(500 * time.Millisecond)
+	a.leader.mu.Lock()
+	defer a.leader.mu.Unlock()
+	a.leader.down = true
+}
+
+// reachAgain lets the worker be reached, and report: with its room known anew, only the order's own bounds hold it back.
+func (a *agent) reachAgain(t *testing.T) {
+	t.Helper()
+	a.worker.SetUnreachable(false)
+	said, _ := a.worker.Beat()
+	a.runner.Heartbeat(t.Context(), said)
+}
+
 // TestOrderInHand: an order that an agent could not carry out for a while is not carried out after the bound of a cordon that it cannot
 // have heard of, although its lease would still allow it.
 func TestOrderInHand(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
-		a.worker.SetUnreachable(true)
-		a.leader.set(func(answer *assignment.Answer) {
-			answer.Start = []assignment.Start{{RunID: id(1)}}
-		})
-		time.Sleep(500 * time.Millisecond)
-		a.leader.mu.Lock()
-		a.leader.down = true
-		a.leader.mu.Unlock()
+		a.takeOrderInHand()
 		time.Sleep(3900 * time.Millisecond)
-		a.worker.SetUnreachable(false)
-		// Its room is known anew, so that only the proof of the zone holds the order back.
-		said, _ := a.worker.Beat()
-		a.runner.Heartbeat(t.Context(), said)
+		a.reachAgain(t)
 		time.Sleep(20 * time.Second)
 		if a.workers.Starts > 0 {
 			t.Errorf("%d runs started", a.workers.Starts)
@@ -524,18 +532,9 @@
 // by the agent's steady clock it is not: the leader may have given the run up, and started it elsewhere.
 func TestSuspendedOrder(t *testing.T) {
 	within(t, func(t *testing.T, a *agent) {
-		a.worker.SetUnreachable(true)
-		a.leader.set(func(answer *assignment.Answer) {
-			answer.Start = []assignment.Start{{RunID: id(1)}}
-		})
-		time.Sleep(500 * time.Millisecond)
-		a.leader.mu.Lock()
-		a.leader.down = true
-		a.leader.mu.Unlock()
+		a.takeOrderInHand()
 		suspended.Add(int64(lease))
-		a.worker.SetUnreachable(false)
-		said, _ := a.worker.Beat()
-		a.runner.Heartbeat(t.Context(), said)
+		a.reachAgain(t)
 		time.Sleep(20 * time.Second)
 		if a.workers.Starts > 0 {
 			t.Errorf("%d runs started", a.workers.Starts)
