The leader decides on news, and tells whom it concerns

Cause: the entry that leads did work that grows with the square of the workers W. Each poll of each agent (two a second) made a decision, and so did each of its own records, twice: when it was written and when it was read. Each decision made anew what all workers should run, woke all held polls, and went through all jobs that are known, ended ones too. Decisions x W, and decisions come with W.

Change: a poll asks for a decision only if it brings something to decide on; what has come on waits for the next one, at most 0.1 s. The leader's own records are no news to it. What workers should run is kept and told for those for which it changed, and only their polls are looked at again. Ended jobs are known but not gone through. After a round the leader rests twice as long as it worked, so that rounds take a third of a processor at the most. Reports count from when they came.

Conclusion: what one piece of news costs to tell no longer depends on W or on jobs that have ended. A decision itself still looks at all workers; its share of the processor is bounded instead.

--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -14,16 +14,14 @@
 //	c.Report(now, poll)              // what a worker's agent says
 //	c.Plan(ctx, now)
 //	records, err := c.Changes(now)   // to be kept
-//	wants := c.Wants(now)            // to be told, once they are kept
+//	changed := c.Wants(now)          // to be told, once they are kept
 package dispatch
 
 import (
-	"maps"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/job"
 	"yarrowgrade.example/yarrowgrade/jobstore"
@@ -37,13 +35,14 @@
 	Silent time.Duration
 	// Forget is how long an ended job is kept.
 	Forget time.Duration
-	// Every is the longest time between two decisions.
+	// Every is the longest time between two decisions: how late what only comes with time is noticed, such as that an urgent job can't wait for
+	// room any longer, or that a worker has fallen silent.
 	Every time.Duration
 }
 
 // DefaultSettings decides with all mechanisms on.
 func DefaultSettings() Settings {
-	return Settings{Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute, Every: 400 * time.Millisecond}
+	return Settings{Silent: 1500 * time.Millisecond, Forget: 3 * time.Minute, Every: 100 * time.Millisecond}
 }
 
 // Parts are what a controller works with.
@@ -61,12 +60,19 @@
 	logger   zerolog.Logger
 	catalog  *catalog.Follower
 	jobs     map[job.ID]*tracked
+	// active are the jobs that have not ended, or of which something is placed or to be kept. Ended ones are known for minutes, and there are many
+	// more of them.
+	active map[job.ID]*tracked
+	// arrivals are the urgent jobs of the last while.
+	arrivals []urgentArrival
 	workers  map[string]*worker
 	advice   *advice
 	// openLives are lives of which it is open how they ended under a task, with their workers.
 	openLives map[life.ID]string
 	// unreadable are jobs of which something is stored that can't be read. Nothing of them starts, and what runs goes on.
 	unreadable map[job.ID]bool
+	// wants is what workers should run, as it was told last.
+	wants *wants
 	// forecast predicts how long tasks work.
 	forecast *forecast
 	// stops is how long runs take to stop.
@@ -76,13 +82,15 @@
 	observed time.Time
 	// next is when the next decision is due by itself.
 	next time.Time
+	// forgot is when jobs that ended long ago were looked for last.
+	forgot time.Time
 }
 
 // New returns a controller that knows of no job and no worker.
 func New(s Settings, p Parts) *Controller {
 	return &Controller{
 		settings: s, logger: p.Logger, catalog: p.Catalog, advice: newAdvice(p.Adviser, p.Logger), forecast: newForecast(),
-		metrics: p.Metrics, jobs: map[job.ID]*tracked{}, workers: map[string]*worker{}, openLives: map[life.ID]string{}, unreadable: map[job.ID]bool{},
+		metrics: p.Metrics, jobs: map[job.ID]*tracked{}, active: map[job.ID]*tracked{}, workers: map[string]*worker{}, wants: newWants(), openLives: map[life.ID]string{}, unreadable: map[job.ID]bool{},
 	}
 }
 
@@ -97,7 +105,7 @@
 	}
 	if v.Cancelled && !t.progress.Phase.Final() {
 		t.progress.Cancel()
-		t.dirty = true
+		c.touch(t)
 		c.logger.Info().Str("step", "dispatch.cancel").Str("job", string(v.ID)).Msg("job is cancelled")
 	}
 }
@@ -118,17 +126,37 @@
 			return nil
 		}
 	}
-	delete(c.unreadable, v.ID)
-	c.jobs[v.ID] = t
+	if c.unreadable[v.ID] {
+		delete(c.unreadable, v.ID)
+		c.wants.all = true
+	}
+	c.add(t)
 	t.progress.OpenLives(func(worker string, open life.ID) { c.openLives[open] = worker })
 	return t
 }
 
+// add takes a job up.
+func (c *Controller) add(t *tracked) {
+	c.jobs[t.job.ID], c.active[t.job.ID] = t, t
+	c.wants.change(t)
+	if t.job.Priority == 0 {
+		c.arrivals = append(c.arrivals, urgentArrival{service: t.job.Service, at: t.job.Accepted, width: widest(t.job)})
+	}
+}
+
+// touch notes that a job's progress has changes: they are to be kept, and may change what workers should run.
+func (c *Controller) touch(t *tracked) {
+	t.dirty = true
+	c.active[t.job.ID] = t
+	c.wants.change(t)
+}
+
 // holdUnreadable holds a job of which something that is stored can't be read. What it says may be that the job is done, so starting it anew could do it
 // twice; and stopping what runs would lose it. It goes on with the next leader that can read it.
 func (c *Controller) holdUnreadable(id job.ID, err error, what string) {
 	if !c.unreadable[id] {
 		c.logger.Error().Str("step", "dispatch.open").Str("job", string(id)).Err(err).Msg(what)
+		c.wants.all = true
 	}
 	c.unreadable[id] = true
 }
@@ -161,7 +189,7 @@
 
 // Busy reports whether there is work to do.
 func (c *Controller) Busy() bool {
-	for _, t := range c.jobs {
+	for _, t := range c.active {
 		if !t.progress.Phase.Final() || t.progress.AnyPlaced() {
 			return true
 		}
@@ -172,8 +200,9 @@
 // Changes returns the records of what has changed, and drops jobs that ended long ago.
 func (c *Controller) Changes(now time.Time) ([]jobstore.Record, error) {
 	var records []jobstore.Record
-	for id, t := range c.jobs {
-		if t.progress.Phase.Final() && t.progress.EndedAt.IsZero() {
+	for id, t := range c.active {
+		ended := t.progress.Phase.Final()
+		if ended && t.progress.EndedAt.IsZero() {
 			t.progress.EndedAt, t.dirty = now, true
 		}
 		if t.dirty {
@@ -183,67 +212,30 @@
 			}
 			records = append(records, record)
 			t.dirty = false
-			continue
 		}
-		if t.progress.Phase.Final() && now.Sub(t.progress.EndedAt) > c.settings.Forget && !t.progress.AnyPlaced() {
-			records = append(records, jobstore.ForgetRecords(id)...)
-			delete(c.jobs, id)
-			c.advice.forget(id)
+		if ended && !t.progress.AnyPlaced() {
+			delete(c.active, id)
 		}
 	}
+	if now.Sub(c.forgot) >= forgetEvery {
+		c.forgot = now
+		records = append(records, c.forget(now)...)
+	}
 	return records, nil
 }
 
-// Want is what a life of a worker should run.
-type Want struct {
-	Life life.ID
-	Runs map[job.TaskName]WantedRun
-	// Held are jobs that can't be read: what runs of them is left alone.
-	Held map[job.ID]bool
-	// Seen is the number up to which the worker's ends are taken note of.
-	Seen int64
-}
-
-// WantedRun is a run that should be on a worker, or stop there. Its role is nil if it shares nothing in a way of its own.
-type WantedRun struct {
-	Start    assignment.Start
-	Stopping bool
-	Role     *assignment.Role
-}
+// forgetEvery is the time between two looks for jobs that ended long ago: each looks at all jobs that are known.
+const forgetEvery = time.Second
 
-// Wants is what each worker should run.
-func (c *Controller) Wants(now time.Time) map[string]Want {
-	all := make(map[string]Want, len(c.workers))
-	held := maps.Clone(c.unreadable)
-	for name, w := range c.workers {
-		if w.life != nil {
-			all[name] = Want{Life: w.life.ID, Runs: map[job.TaskName]WantedRun{}, Held: held, Seen: w.ends}
+// forget drops jobs that ended long ago, and returns the records that drop what is stored of them.
+func (c *Controller) forget(now time.Time) []jobstore.Record {
+	var records []jobstore.Record
+	for id, t := range c.jobs {
+		if c.active[id] == nil && now.Sub(t.progress.EndedAt) > c.settings.Forget {
+			records = append(records, jobstore.ForgetRecords(id)...)
+			delete(c.jobs, id)
+			c.advice.forget(id)
 		}
 	}
-	for _, t := range c.jobs {
-		t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
-			want, ok := all[task.Worker]
-			if !ok || want.Life != task.Life {
-				return
-			}
-			start := assignment.Start{RunID: assignment.RunID{Task: name, Run: task.Run}, Spec: t.job.Spec, Saved: task.Saved}
-			if t.job.Advised {
-				start.Ticket, _ = c.advice.ticket(stepOf(name), task.Life, now)
-			}
-			want.Runs[name] = WantedRun{
-				Start:    start,
-				Stopping: t.stopping[name] == task.Run || t.progress.Phase == job.Cancelled || t.progress.Phase == job.Failed,
-				Role:     roleOf(start.RunID, t.job.Steps[name.Step]),
-			}
-		})
-	}
-	return all
-}
-
-// roleOf is how a run of the step shares its worker's processors, or nil if in no way of its own.
-func roleOf(id assignment.RunID, s job.Step) *assignment.Role {
-	if !s.Fills && s.Target == 0 {
-		return nil
-	}
-	return &assignment.Role{RunID: id, TargetMillis: s.Target.Milliseconds(), Fills: s.Fills}
+	return records
 }
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -17,7 +17,7 @@
 		loss.Alone = loss.Alone && !excused
 		return loss
 	}
-	for _, t := range c.jobs {
+	for _, t := range c.active {
 		t.progress.Placed(t.job.ID, func(name job.TaskName, placed *job.Task) {
 			if placed.Worker == w.name && placed.Life == end.ID {
 				id := assignment.RunID{Task: name, Run: placed.Run}
@@ -81,7 +81,7 @@
 		for name, fate := range under {
 			c.noteCrash(t, name, w.name, fate)
 		}
-		t.dirty = true
+		c.touch(t)
 		c.notePhase(t, before)
 	}
 }
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -45,6 +45,7 @@
 	}
 	b := &fixture{t: t, now: time.Now()}
 	b.control = New(DefaultSettings(), Parts{Catalog: follower, Logger: zerolog.Nop(), Metrics: NewMetrics(tally.NoopScope)})
+	b.control.wants.all = true
 	for r := range racks {
 		for w := range perRack {
 			name := fmt.Sprintf("w%d-%d", r, w)
@@ -74,7 +75,7 @@
 		ID: id, Service: service, Priority: priority, Team: team, Attempts: 3, Stretch: 3, Aim: time.Second,
 		Accepted: b.now.Add(time.Duration(b.number) * time.Millisecond), Steps: []job.Step{s},
 	})
-	b.control.jobs[id] = t
+	b.control.add(t)
 	return t
 }
 
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -40,17 +40,17 @@
 
 // urgentArrival is an urgent job that was accepted a while ago, and how many accelerators it takes at once.
 type urgentArrival struct {
-	at    time.Time
-	width int
+	service string
+	at      time.Time
+	width   int
 }
 
 // urgentSeen lists, by service, the urgent jobs of the last minute in the order in which they came.
 func (p *plan) urgentSeen() map[string][]urgentArrival {
 	seen := map[string][]urgentArrival{}
-	for _, t := range p.c.jobs {
-		if t.job.Priority == 0 && p.now.Sub(t.job.Accepted) < urgentMemory {
-			seen[t.job.Service] = append(seen[t.job.Service], urgentArrival{at: t.job.Accepted, width: widest(t.job)})
-		}
+	p.c.arrivals = slices.DeleteFunc(p.c.arrivals, func(a urgentArrival) bool { return p.now.Sub(a.at) >= urgentMemory })
+	for _, a := range p.c.arrivals {
+		seen[a.service] = append(seen[a.service], a)
 	}
 	for _, all := range seen {
 		slices.SortFunc(all, func(a, b urgentArrival) int { return a.at.Compare(b.at) })
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -132,7 +132,7 @@
 		}
 	}
 	waiting, held := map[string]int{}, map[string]int{}
-	for id, t := range c.jobs {
+	for id, t := range c.active {
 		if t.progress.Phase == job.Queued {
 			waiting[t.job.Team]++
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -218,7 +218,7 @@
 		return guaranteed
 	}
 	var urgent []*tracked
-	for _, t := range p.c.jobs {
+	for _, t := range p.c.active {
 		if t.job.Priority == 0 && !t.progress.Phase.Final() && t.job.Team != "" {
 			urgent = append(urgent, t)
 		}
@@ -252,7 +252,7 @@
 // these the small ones: most of them fit in beside a large one, which waits only a little longer for that.
 func (p *plan) waiting() []waiting {
 	var all []waiting
-	for id, t := range p.c.jobs {
+	for id, t := range p.c.active {
 		if t.progress.Phase.Final() {
 			continue
 		}
@@ -415,6 +415,6 @@
 			Dur("forecast_ms", w.length).
 			Time("due", w.due).Msg("run is placed")
 	}
-	w.tracked.dirty = true
+	p.c.touch(w.tracked)
 	delete(w.tracked.waits, w.unit.Tasks[0])
 }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -135,6 +135,7 @@
 	r.stopping = true
 	p.c.metrics.stopped(why)
 	r.tracked.stopping[r.name] = r.run
+	p.c.wants.change(r.tracked)
 	r.tracked.causes[r.name] = stopCause(why)
 	r.tracked.stoppedAt[r.name] = p.now
 	r.node.later = r.node.later.Plus(r.need, 1)
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -35,6 +35,7 @@
 		if w.life != nil && w.life.ID == end.ID {
 			// Nothing is placed there until the next life reports.
 			w.life = nil
+			c.wants.changeWorker(w.name)
 		}
 	}
 }
@@ -58,6 +59,7 @@
 			c.sampleEnd(w, e, before[e.RunID])
 			c.end(w, e)
 			w.ends = e.Number
+			c.wants.changeWorker(w.name)
 		}
 	}
 	for _, r := range poll.Refused {
@@ -81,7 +83,7 @@
 		c.endLife(now, w, assignment.LifeEnd{ID: w.life.ID, Leaving: w.life.Leaving})
 	}
 	c.judgeFormer(w, present.ID)
-	for _, t := range c.jobs {
+	for _, t := range c.active {
 		t.progress.Placed(t.job.ID, func(name job.TaskName, task *job.Task) {
 			if task.Worker == w.name && task.Life != present.ID {
 				c.loseRun(t, name, task, whyLifeOver, job.Loss{Fate: job.Doubtful})
@@ -91,6 +93,7 @@
 	c.takeCarriedOver(now, w, poll)
 	c.logger.Info().Str("step", "dispatch.report").Str("worker", w.name).Stringer("life", present.ID).Msg("worker reports")
 	w.life, w.ends, w.runs, w.health, w.speed, w.leaves = present, 0, map[assignment.RunID]observed{}, health{}, speed{}, time.Time{}
+	c.wants.changeWorker(w.name)
 }
 
 // takeCarriedOver places runs anew that the worker lists though they were sent to a former start of it. An order names no start, so one that was under way
@@ -116,7 +119,7 @@
 		return
 	}
 	t.progress.Assign(now, id.Task, id.Run, w.name, present)
-	t.dirty = true
+	c.touch(t)
 	if t.job.Steps[id.Task.Step].Gang {
 		// The others of its gang are gone with their run.
 		t.stopping[id.Task] = id.Run
@@ -169,7 +172,7 @@
 	if !t.progress.EndLate(t.job, e.Task, e.Run, e.How) {
 		return
 	}
-	t.dirty = true
+	c.touch(t)
 	c.metrics.late.Inc(1)
 	c.logger.Warn().Str("step", "dispatch.end").Stringer("task", e.Task).Int("run", e.Run).Str("how", string(e.How)).Str("worker", w.name).
 		Msg("run that had been given up has ended")
@@ -206,7 +209,7 @@
 
 // noteEnd counts and logs the end of a run that has been taken note of.
 func (c *Controller) noteEnd(t *tracked, e assignment.End) {
-	t.dirty = true
+	c.touch(t)
 	c.metrics.ends.Inc(e.How)
 	cause, lost := t.account(e)
 	if lost > 0 {
@@ -238,7 +241,7 @@
 // Placed are the workers on which something is placed.
 func (c *Controller) Placed() map[string]bool {
 	names := map[string]bool{}
-	for _, t := range c.jobs {
+	for _, t := range c.active {
 		t.progress.Placed(t.job.ID, func(_ job.TaskName, placed *job.Task) { names[placed.Worker] = true })
 	}
 	return names
@@ -249,7 +252,7 @@
 	if len(workers) == 0 {
 		return
 	}
-	for _, t := range c.jobs {
+	for _, t := range c.active {
 		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
 			if workers[placed.Worker] {
 				c.loseRun(t, task, placed, whyLeaseOver, c.openLoss(task, placed))
--- a/dispatch/running.go
+++ b/dispatch/running.go
@@ -10,12 +10,12 @@
 // addRuns takes what runs off the workers' room.
 func (p *plan) addRuns() {
 	placed := 0
-	for _, t := range p.c.jobs {
+	for _, t := range p.c.active {
 		placed += t.progress.PlacedTasks()
 	}
 	// All runs of a decision are made at once: at the design size there are 14,000.
 	runs := make([]running, 0, placed)
-	for id, t := range p.c.jobs {
+	for id, t := range p.c.active {
 		t.progress.Placed(id, func(name job.TaskName, task *job.Task) {
 			n := p.byName[task.Worker]
 			if n == nil || n.life.ID != task.Life {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -33,6 +33,8 @@
 	paces map[job.TaskName]*stepPace
 	// waits is why its units were last logged to wait, by their first tasks.
 	waits map[job.TaskName]string
+	// wantedOn are the workers on which runs of it were placed when what workers should run was told last.
+	wantedOn []string
 }
 
 // worker is a worker as the control goroutine knows it.
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -103,7 +103,7 @@
 	if !r.tracked.job.Steps[r.name.Step].Lasts || p.ageOf(n, r) < soundAfter || !r.tracked.progress.Clear(r.name) {
 		return
 	}
-	r.tracked.dirty = true
+	p.c.touch(r.tracked)
 	p.c.logger.Info().Str("step", "dispatch.clear").Stringer("task", r.name).Int("run", r.run).Msg("task is no longer suspected")
 }
 
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -57,6 +57,8 @@
 	watching time.Time
 	sign     time.Time
 	changed  chan struct{}
+	// news is closed and replaced when there is something to Take, or another leader.
+	news chan struct{}
 	// taken is closed and replaced when a read has been taken over.
 	taken chan struct{}
 	// fresh holds the jobs whose submission or cancel came since Take.
@@ -67,7 +69,7 @@
 func NewReplica(log Log, readers func() int, logger zerolog.Logger) *Replica {
 	r := &Replica{
 		tail: NewTail(log, "jobs", replicaWait, logger), readers: readers,
-		jobs: map[job.ID]*entry{}, fresh: map[job.ID]bool{}, changed: make(chan struct{}), taken: make(chan struct{}),
+		jobs: map[job.ID]*entry{}, fresh: map[job.ID]bool{}, changed: make(chan struct{}), news: make(chan struct{}), taken: make(chan struct{}),
 	}
 	r.tail.WithGap(r.gap)
 	return r
@@ -124,6 +126,7 @@
 func (r *Replica) take(n News) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	led := r.leader
 	if n.Loaded {
 		r.forget()
 	}
@@ -145,7 +148,7 @@
 		r.proof = n.Proof
 	}
 	if first || n.Loaded || len(n.Records) > 0 {
-		r.wake()
+		r.wake(led)
 	}
 }
 
@@ -161,15 +164,21 @@
 func (r *Replica) Note(records []Record, first int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	led := r.leader
 	for i, record := range records {
 		r.applyOne(Stored{Record: record, Offset: first + int64(i)})
 	}
-	r.wake()
+	r.wake(led)
 }
 
-func (r *Replica) wake() {
+// wake tells those who wait for a change. Led is who led before it. The lock must be held.
+func (r *Replica) wake(led Leader) {
 	close(r.changed)
 	r.changed = make(chan struct{})
+	if len(r.fresh) > 0 || r.leader != led {
+		close(r.news)
+		r.news = make(chan struct{})
+	}
 }
 
 func (r *Replica) applyOne(s Stored) {
@@ -231,6 +240,14 @@
 	return r.changed
 }
 
+// News is closed once there is something to Take, or another leader. What this process writes of jobs' progress is no news to it: a leader that
+// decided anew for each change decided three times for each of its appends.
+func (r *Replica) News() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.news
+}
+
 // Proof is when the newest read was sent whose answer had nothing left to read; zero if there was none. The time since then is what has really passed, also
 // on a machine that was suspended.
 func (r *Replica) Proof() time.Time {
--- /dev/null
+++ b/leader/counts_test.go
@@ -0,0 +1,248 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"yarrowgrade.example/yarrowgrade/assignment"
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/dispatch"
+	"yarrowgrade.example/yarrowgrade/job"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+	"yarrowgrade.example/yarrowgrade/life"
+	"yarrowgrade.example/yarrowgrade/suspend"
+)
+
+// counter is a tally.Counter that tests read.
+type counter struct{ n atomic.Int64 }
+
+func (c *counter) Inc(delta int64) { c.n.Add(delta) }
+
+// sizes are the numbers of workers at which work is counted.
+var sizes = []int{100, 200}
+
+// agentPoll is a poll of the i-th of many agents, whose worker runs what is wanted of it.
+func agentPoll(i int, sequence int64, percent int) assignment.Poll {
+	l := life.ID{Instance: fmt.Sprintf("life-%d", i), Born: 1}
+	return assignment.Poll{
+		Worker: fmt.Sprintf("w-%d", i), Agent: "a", Sequence: sequence, Term: 3, Listed: true, Wait: true,
+		Life: &assignment.Life{ID: l, Service: "roster", Labels: []string{"a"}},
+		Runs: []assignment.Run{{RunID: runOf(i), Percent: percent}},
+	}
+}
+
+func runOf(i int) assignment.RunID {
+	return assignment.RunID{Task: job.TaskName{Job: job.ID(fmt.Sprintf("%016x", i))}, Run: 1}
+}
+
+// wantOf is that the i-th worker runs what it runs, and that ends up to that number are read.
+func wantOf(i int, seen int64) dispatch.Want {
+	p := agentPoll(i, 1, 0)
+	return dispatch.Want{Life: p.Life.ID, Seen: seen, Runs: map[job.TaskName]dispatch.WantedRun{runOf(i).Task: {Start: assignment.Start{RunID: runOf(i)}}}}
+}
+
+// withFleet runs a test with n agents that have polled, and whose workers run what is wanted of them.
+func withFleet(t *testing.T, n int, f func(t *testing.T, l *leases, looks *counter)) {
+	synctest.Test(t, func(t *testing.T) {
+		looks := &counter{}
+		open := func() (catalog.Cordons, time.Time) { return nil, time.Now() }
+		l := newLeases(DefaultTiming(6*time.Second), suspend.Clock(nil), open, looks)
+		l.open(3, l.clock.Now())
+		all := map[string]dispatch.Want{}
+		for i := range n {
+			p := agentPoll(i, 1, 0)
+			p.Wait = false
+			ask(t, l, p)
+			all[p.Worker] = wantOf(i, 0)
+		}
+		l.take()
+		l.publish(all)
+		<-l.news
+		f(t, l, looks)
+	})
+}
+
+// TestPublicationWakesWhomItConcerns: with 800 workers the entry that led spent most of its time on looking at held polls. Each decision had all of them looked
+// at again, and there were more decisions the more workers there were. What is wanted anew of one worker is one look, however many
+// there are.
+func TestPublicationWakesWhomItConcerns(t *testing.T) {
+	for _, n := range sizes {
+		withFleet(t, n, func(t *testing.T, l *leases, looks *counter) {
+			for i := range n {
+				go l.serve(t.Context(), agentPoll(i, 2, 1))
+			}
+			synctest.Wait()
+			before := looks.n.Load()
+			l.take()
+			l.publish(map[string]dispatch.Want{"w-7": wantOf(7, 1)})
+			synctest.Wait()
+			if got := looks.n.Load() - before; got != 1 {
+				t.Errorf("%d polls of %d were looked at for one worker, want 1", got, n)
+			}
+			time.Sleep(l.timing.Hold)
+			synctest.Wait()
+		})
+	}
+}
+
+// TestPollsWithNothingNew: each poll of each agent made the entry that led decide anew, 1,600 times a second with 800 workers, for runs that had only come on.
+func TestPollsWithNothingNew(t *testing.T) {
+	for _, n := range sizes {
+		withFleet(t, n, func(t *testing.T, l *leases, _ *counter) {
+			decisions := 0
+			for round := range 3 {
+				for i := range n {
+					p := agentPoll(i, int64(2+round), 10*round)
+					p.Wait = false
+					ask(t, l, p)
+					decisions += drained(l.news)
+				}
+			}
+			if decisions != 0 {
+				t.Errorf("%d polls of %d asked for a decision, want none", decisions, 3*n)
+			}
+			if got := len(l.take()); got != n {
+				t.Errorf("%d polls are there for the next decision, want %d", got, n)
+			}
+		})
+	}
+}
+
+func drained(news <-chan struct{}) int {
+	select {
+	case <-news:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// TestPollsThatDecide lists what a poll may say that has to be decided on at once, and what has not.
+func TestPollsThatDecide(t *testing.T) {
+	other := runOf(99)
+	tests := []struct {
+		name    string
+		change  func(p *assignment.Poll)
+		decides bool
+	}{
+		{"nothing new", func(*assignment.Poll) {}, false},
+		{"a run has come on", func(p *assignment.Poll) { p.Runs[0].Percent, p.Runs[0].Saved = 70, "x" }, false},
+		{"an end", func(p *assignment.Poll) {
+			p.Runs, p.Ends = nil, []assignment.End{{RunID: runOf(0), Number: 1, How: job.EndDone}}
+		}, true},
+		{"a refusal", func(p *assignment.Poll) { p.Runs, p.Refused = nil, []assignment.Refusal{{RunID: runOf(0)}} }, true},
+		{"a run that is not wanted", func(p *assignment.Poll) { p.Runs = append(p.Runs, assignment.Run{RunID: other}) }, true},
+		{"a wanted run in another start", func(p *assignment.Poll) { p.Runs[0].Run = 2 }, true},
+		{"a run that is gone", func(p *assignment.Poll) { p.Runs = nil }, true},
+		{"another life", func(p *assignment.Poll) { p.Life.ID.Born = 2 }, true},
+		{"no life", func(p *assignment.Poll) { p.Life = nil }, true},
+		{"less room", func(p *assignment.Poll) { p.Life.Room.Memory-- }, true},
+		{"it leaves", func(p *assignment.Poll) { p.Life.Leaving, p.Life.LeavesIn = true, 4000 }, true},
+		{"other labels", func(p *assignment.Poll) { p.Life.Labels = []string{"b"} }, true},
+		{"a life that is over", func(p *assignment.Poll) { p.Over = []assignment.LifeEnd{{ID: life.ID{Instance: "x"}}} }, true},
+		{"a life that is closing", func(p *assignment.Poll) { p.Closing = []life.ID{p.Life.ID} }, true},
+		{"silence", func(p *assignment.Poll) { p.Silent = true }, true},
+		{"failing", func(p *assignment.Poll) { p.FailingMillis = 300 }, true},
+		{"not listed", func(p *assignment.Poll) { p.Listed, p.Runs = false, nil }, true},
+		{"another agent", func(p *assignment.Poll) { p.Agent, p.Sequence = "b", 1 }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withFleet(t, 1, func(t *testing.T, l *leases, _ *counter) {
+				p := agentPoll(0, 2, 0)
+				p.Wait = false
+				test.change(&p)
+				ask(t, l, p)
+				if got := drained(l.news) == 1; got != test.decides {
+					t.Errorf("it asks for a decision: %v, want %v", got, test.decides)
+				}
+			})
+		})
+	}
+}
+
+// TestLapsedLeaseWakes: what waits for a start while the leader's proof is too old is told as soon as there is a new one, and not when its poll has
+// been held for long enough.
+func TestLapsedLeaseWakes(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, l *leases, _ *counter) {
+		time.Sleep(l.timing.Proof + time.Millisecond)
+		p := agentPoll(0, 2, 0)
+		p.Runs = nil
+		began := time.Now()
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			l.prove(l.clock.Now())
+		}()
+		if a := ask(t, l, p); len(a.Start) != 1 || time.Since(began) != 50*time.Millisecond {
+			t.Errorf("after %v it is told to start %v", time.Since(began), a.Start)
+		}
+	})
+}
+
+// TestRoundsOfAQuietLeader: an entry that led decided three times for each of its appends: its own record woke it when it was written, and again when it was
+// read.
+func TestRoundsOfAQuietLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); time.Sleep(10 * time.Second) }()
+		scope := tally.NewTestScope("", nil)
+		log, config, directory := jobtest.NewLog(1), jobtest.NewLog(2), jobtest.NewLog(3)
+		replica := jobstore.NewReplica(log.Client("e"), func() int { return 1 }, zerolog.Nop())
+		follower := catalog.NewFollower(config.Client("e"), catalog.Format{ConfigKey: "config"}, zerolog.Nop())
+		settings := Settings{Name: "e/1", Address: "e", Timing: DefaultTiming(6 * time.Second), Dispatch: dispatch.DefaultSettings()}
+		nobody := func() []string { return nil }
+		c := New(settings, Parts{
+			Log: log.Client("e"), Replica: replica, Catalog: follower, Directory: directory.Client("e"), Latency: replica.Latency(),
+			Peers: nobody, Larger: nobody, Logger: zerolog.Nop(), Metrics: scope,
+		})
+		go replica.Run(ctx)
+		go follower.Run(ctx)
+		go c.Run(ctx)
+		time.Sleep(5 * time.Second)
+		before := roundsIn(scope)
+		const watched = 10 * time.Second
+		time.Sleep(watched)
+		// One when a decision is due by itself, and one when a sign of life is.
+		most := int(watched/settings.Dispatch.Every) + int(watched/settings.Timing.Renew) + 1
+		if got := roundsIn(scope) - before; got == 0 || got > most {
+			t.Errorf("%d rounds in %v without any news, want at most %d", got, watched, most)
+		}
+	})
+}
+
+// roundsIn is how many rounds of the leading goroutine a scope has counted.
+func roundsIn(scope tally.TestScope) int {
+	rounds := 0
+	for _, h := range scope.Snapshot().Histograms() {
+		if h.Name() == "pass_time" {
+			for _, n := range h.Durations() {
+				rounds += int(n)
+			}
+		}
+	}
+	return rounds
+}
+
+// TestRest: rounds take at most a third of the leader's time however long each takes, up to the longest rest.
+func TestRest(t *testing.T) {
+	tests := []struct{ worked, rest time.Duration }{
+		{0, 0},
+		{500 * time.Microsecond, 0},
+		{time.Millisecond, 2 * time.Millisecond},
+		{6 * time.Millisecond, 12 * time.Millisecond},
+		{time.Second, mostRest},
+	}
+	for _, test := range tests {
+		if got := restAfter(test.worked); got != test.rest {
+			t.Errorf("after %v it rests for %v, want %v", test.worked, got, test.rest)
+		}
+	}
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -36,6 +36,7 @@
 	"yarrowgrade.example/yarrowgrade/dispatch"
 	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/pause"
 	"yarrowgrade.example/yarrowgrade/suspend"
 )
 
@@ -123,7 +124,8 @@
 
 // New returns a candidate. Run starts it.
 func New(s Settings, p Parts) *Candidate {
-	return &Candidate{settings: s, parts: p, metrics: newMetrics(p.Metrics), leases: newLeases(s.Timing, p.Suspension, p.Catalog.Cordons), resign: make(chan struct{})}
+	m := newMetrics(p.Metrics)
+	return &Candidate{settings: s, parts: p, metrics: m, leases: newLeases(s.Timing, p.Suspension, p.Catalog.Cordons, m.looks), resign: make(chan struct{})}
 }
 
 // Resign ends leadership, if this entry leads, and never claims it again.
@@ -200,10 +202,12 @@
 	go jobstore.AnnounceLeader(ctx, c.parts.Directory, leader)
 	go t.yieldToLarger(ctx)
 	for {
-		changed, ruled := c.parts.Replica.Changed(), c.parts.Catalog.Changed()
-		if err := c.pass(ctx, t, d, began); err != nil {
+		handedIn, ruled := c.parts.Replica.News(), c.parts.Catalog.Changed()
+		worked, err := c.pass(ctx, t, d, began)
+		if err != nil {
 			return err
 		}
+		pause.For(ctx, restAfter(worked))
 		if time.Since(t.written) >= c.settings.Timing.Renew {
 			if err := t.renew(ctx); err != nil {
 				return err
@@ -211,7 +215,7 @@
 		}
 		timer := time.NewTimer(c.untilNext(t, d))
 		select {
-		case <-changed:
+		case <-handedIn:
 		case <-ruled:
 		case <-c.leases.news:
 		case answer := <-d.Advice():
@@ -232,11 +236,31 @@
 	}
 }
 
-// pass is one round of the leading goroutine: news in, a decision, one append, and then the word to the agents.
-func (c *Candidate) pass(ctx context.Context, t *term, d *dispatch.Controller, began time.Time) error {
+// Rest of the leading goroutine between two rounds. A round looks at all workers and at all work, and news come with both, so rounds without rest would
+// take up a processor once the fleet is large enough, and polls would wait for it. With rest they take a third of one, and what the rest costs is
+// time until a start that grows with the fleet and not with its square: half of it, 6 ms where a round takes 6.
+const (
+	// restShare is how long it rests after a round, in times that the round took; mostRest bounds it, and under leastRest there is none.
+	restShare = 2
+	mostRest  = 100 * time.Millisecond
+	leastRest = 2 * time.Millisecond
+)
+
+// restAfter is how long the leading goroutine rests after a round that took so long, without its append.
+func restAfter(worked time.Duration) time.Duration {
+	rest := min(restShare*worked, mostRest)
+	if rest < leastRest {
+		return 0
+	}
+	return rest
+}
+
+// pass is one round of the leading goroutine: news in, a decision, one append, and then the word to the agents. It returns how long it worked, without
+// the append.
+func (c *Candidate) pass(ctx context.Context, t *term, d *dispatch.Controller, began time.Time) (worked time.Duration, err error) {
 	now := time.Now()
-	for _, poll := range c.leases.take() {
-		d.Report(now, poll)
+	for _, a := range c.leases.take() {
+		d.Report(a.at, a.poll)
 	}
 	for _, v := range c.parts.Replica.Take() {
 		d.Take(v)
@@ -246,17 +270,21 @@
 	d.Plan(ctx, now)
 	records, err := d.Changes(now)
 	if err != nil {
-		return err
+		return 0, err
 	}
+	worked = time.Since(now)
 	if len(records) > 0 {
 		if err := t.write(ctx, records); err != nil {
-			return err
+			return 0, err
 		}
 	}
+	kept := time.Now()
 	c.leases.publish(d.Wants(now))
-	c.metrics.passTime.RecordDuration(time.Since(now))
 	d.Observe(now)
-	return nil
+	worked += time.Since(kept)
+	c.metrics.passTime.RecordDuration(time.Since(now))
+	c.metrics.workTime.RecordDuration(worked)
+	return worked, nil
 }
 
 // untilNext is how long the leading goroutine may wait for news.
--- a/leader/leases.go
+++ b/leader/leases.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
@@ -20,8 +22,9 @@
 	sequence int64
 	fence    int64
 	// poll is the newest one; news says that the leading goroutine has not seen it yet.
-	poll assignment.Poll
-	news bool
+	poll    assignment.Poll
+	arrived time.Time
+	news    bool
 	// life is the newest that a poll has listed, formerLives those before it, the newest first.
 	life        life.ID
 	formerLives []life.ID
@@ -31,14 +34,22 @@
 	// that, the agent gets no lease and no orders.
 	expired bool
 
-	// want is what the leading goroutine has published for a life of the worker.
-	want dispatch.Want
+	// want is what the leading goroutine has published for a life of the worker. Published is closed and replaced when it publishes something
+	// new for it.
+	want      dispatch.Want
+	published chan struct{}
 	// taken is the sequence number of the poll that the leading goroutine took last, heard that of the one whose news it
 	// has kept.
 	taken int64
 	heard int64
 }
 
+// wake has the agent's held polls looked at again. The lock of the leases must be held.
+func (p *agentLease) wake() {
+	close(p.published)
+	p.published = make(chan struct{})
+}
+
 // leases is where agents' polls meet the leading goroutine, and what each agent may keep alive. The handlers of polls read what was published and leave their
 // news; they change nothing else.
 type leases struct {
@@ -57,12 +68,14 @@
 	// heard is when any agent polled last.
 	heard  time.Time
 	agents map[string]*agentLease
-	// published is closed and replaced at each publication.
-	published chan struct{}
+	// decided are the agents whose polls were taken, or whose lease was found to be over, since the last publication.
+	decided map[*agentLease]bool
+	// looks counts how often a poll was compared with what is wanted.
+	looks tally.Counter
 }
 
-func newLeases(timing Timing, clock suspend.Clock, cordons func() (catalog.Cordons, time.Time)) *leases {
-	return &leases{timing: timing, clock: clock, cordons: cordons, news: make(chan struct{}, 1), published: make(chan struct{})}
+func newLeases(timing Timing, clock suspend.Clock, cordons func() (catalog.Cordons, time.Time), looks tally.Counter) *leases {
+	return &leases{timing: timing, clock: clock, cordons: cordons, looks: looks, news: make(chan struct{}, 1)}
 }
 
 // open begins a term.
@@ -70,22 +83,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.term, l.fences, l.proof, l.synced, l.heard = term, 0, proof, false, time.Now()
-	l.agents = map[string]*agentLease{}
+	l.agents, l.decided = map[string]*agentLease{}, map[*agentLease]bool{}
 }
 
 // close ends the term: polls are redirected from now on.
 func (l *leases) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.term, l.agents = 0, nil
-	l.announce()
+	l.wakeAll()
+	l.term, l.agents, l.decided = 0, nil, nil
 }
 
 // prove notes that this entry led when a write that has been acknowledged was sent.
 func (l *leases) prove(sent suspend.Mark) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	lapsed := l.lease() == 0
 	l.proof = l.clock.Later(sent, l.proof)
+	if lapsed {
+		// Without a lease nothing is started: what waits for one can be said now.
+		l.wakeAll()
+	}
 }
 
 // silence is for how long no agent has polled. It does not wait for the leading goroutine, which may stand still as long as
@@ -96,9 +114,11 @@
 	return now.Sub(l.heard)
 }
 
-func (l *leases) announce() {
-	close(l.published)
-	l.published = make(chan struct{})
+// wakeAll has all held polls looked at again. The lock must be held.
+func (l *leases) wakeAll() {
+	for _, p := range l.agents {
+		p.wake()
+	}
 }
 
 // lease is how long runs may be kept alive from now on: nothing once the proof of leadership is too old, because a
@@ -149,15 +169,22 @@
 		if p.agent != "" {
 			p.former[p.agent] = true
 		}
-		p.agent, p.sequence, p.taken, p.heard = poll.Agent, 0, 0, 0
+		p.agent, p.sequence, p.taken, p.heard, p.poll = poll.Agent, 0, 0, 0, assignment.Poll{}
+		p.wake()
 		l.fences++
 		p.fence = l.term<<fenceBits + l.fences
 	}
 	if poll.Sequence <= p.sequence {
 		return true
 	}
-	p.sequence, p.poll, p.news = poll.Sequence, poll, true
+	// What brings nothing to decide on is taken with the next decision: an agent polls twice a second, and if each of its polls made one,
+	// decisions times workers would grow with the square of the workers.
+	decides := p.decides(poll)
+	p.sequence, p.poll, p.arrived, p.news = poll.Sequence, poll, l.heard, true
 	p.noteLife(poll)
+	if !decides {
+		return true
+	}
 	select {
 	case l.news <- struct{}{}:
 	default:
@@ -169,7 +196,7 @@
 func (l *leases) agentOf(worker string) *agentLease {
 	p := l.agents[worker]
 	if p == nil {
-		p = &agentLease{former: map[string]bool{}}
+		p = &agentLease{former: map[string]bool{}, published: make(chan struct{})}
 		l.agents[worker] = p
 	}
 	return p
@@ -193,6 +220,7 @@
 		}
 		if now.After(base.Add(l.timing.over())) {
 			p.expired = true
+			l.decided[p] = true
 			over[name] = true
 		}
 	}
@@ -210,6 +238,7 @@
 	if l.term == 0 || p == nil || p.agent != poll.Agent {
 		return a, false, nil, false
 	}
+	l.looks.Inc(1)
 	now := time.Now()
 	lease := l.lease()
 	if poll.Life == nil || poll.Silent || p.expired {
@@ -228,15 +257,15 @@
 	}
 	if !poll.Listed || poll.Life == nil {
 		// The agent needs its fence before it can list anything.
-		return a, !poll.Listed && poll.Life != nil, l.published, true
+		return a, !poll.Listed && poll.Life != nil, p.published, true
 	}
 	if !l.synced || p.expired || poll.Life.ID != p.want.Life {
-		return a, false, l.published, true
+		return a, false, p.published, true
 	}
 	a.Life, a.Seen = p.want.Life, p.want.Seen
 	p.compare(poll, &a)
 	urgent = len(a.Start) > 0 || len(a.Stop) > 0 || len(a.Settle) > 0 || a.Seen > poll.Seen
-	return a, urgent, l.published, true
+	return a, urgent, p.published, true
 }
 
 // openZone reports whether a zone is not cordoned, and how old the proof of that is in milliseconds, rounded up. It asks at the moment of
@@ -278,27 +307,48 @@
 	}
 }
 
+// arrival is a poll, and when it came.
+type arrival struct {
+	poll assignment.Poll
+	at   time.Time
+}
+
 // take returns the polls that are new since the last call, by worker.
-func (l *leases) take() map[string]assignment.Poll {
+func (l *leases) take() map[string]arrival {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	polls := map[string]assignment.Poll{}
+	polls := map[string]arrival{}
 	for name, p := range l.agents {
 		if p.news {
-			polls[name], p.news, p.taken = p.poll, false, p.sequence
+			polls[name] = arrival{poll: p.poll, at: p.arrived}
+			p.news, p.taken = false, p.sequence
+			l.decided[p] = true
 		}
 	}
 	return polls
 }
 
-// publish puts what has been kept in force for the agents.
-func (l *leases) publish(all map[string]dispatch.Want) {
+// publish puts what has been kept in force for the agents: what is wanted of the workers for which that has changed. Only their polls are
+// looked at again, and those of agents that are no longer expired: waking all held polls at each decision is work that grows with the
+// square of the workers.
+func (l *leases) publish(changed map[string]dispatch.Want) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name, p := range l.agents {
-		p.expired = false
-		p.want, p.heard = all[name], p.taken
+	for p := range l.decided {
+		p.heard = p.taken
+		if p.expired {
+			p.expired = false
+			p.wake()
+		}
+	}
+	clear(l.decided)
+	for name, want := range changed {
+		p := l.agentOf(name)
+		p.want = want
+		p.wake()
+	}
+	if !l.synced {
+		l.synced = true
+		l.wakeAll()
 	}
-	l.synced = true
-	l.announce()
 }
--- a/leader/leases_test.go
+++ b/leader/leases_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"yarrowgrade.example/yarrowgrade/assignment"
 	"yarrowgrade.example/yarrowgrade/catalog"
 	"yarrowgrade.example/yarrowgrade/dispatch"
@@ -24,7 +26,7 @@
 // withLeases runs a test with open leases, in a bubble.
 func withLeases(t *testing.T, f func(t *testing.T, l *leases)) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newLeases(DefaultTiming(6*time.Second), func() time.Duration { return suspended }, func() (catalog.Cordons, time.Time) { return cordons, cordonsProof })
+		l := newLeases(DefaultTiming(6*time.Second), func() time.Duration { return suspended }, func() (catalog.Cordons, time.Time) { return cordons, cordonsProof }, tally.NoopScope.Counter("looks"))
 		cordons, cordonsProof = nil, time.Now()
 		l.open(3, l.clock.Now())
 		f(t, l)
@@ -173,7 +175,7 @@
 		older := poll(2)
 		older.Refused = []assignment.Refusal{{RunID: wantedRun}}
 		ask(t, l, older)
-		taken := l.take()["w"]
+		taken := l.take()["w"].poll
 		if taken.Sequence != 3 {
 			t.Errorf("the poll %d was taken over", taken.Sequence)
 		}
--- a/leader/metrics.go
+++ b/leader/metrics.go
@@ -10,8 +10,10 @@
 // metrics are a candidate's.
 type metrics struct {
 	terms telemetry.Counters[string]
-	// passTime is that of a round of the leading goroutine.
-	passTime tally.Histogram
+	// passTime is that of a round of the leading goroutine, workTime the part of it without its append.
+	passTime, workTime tally.Histogram
+	// looks counts how often a poll was compared with what is wanted: when it came, when it was held long enough, and when something was wanted anew.
+	looks tally.Counter
 	// dispatch are those of the decision; they move while this entry leads.
 	dispatch *dispatch.Metrics
 }
@@ -27,6 +29,8 @@
 	return metrics{
 		terms:    telemetry.NewCounters(scope, "terms", "event", termBegun, termLost, termHandedOver),
 		passTime: telemetry.Times(scope, "pass_time"),
+		workTime: telemetry.Times(scope, "pass_work_time"),
+		looks:    scope.Counter("poll_looks"),
 		dispatch: dispatch.NewMetrics(scope),
 	}
 }
