Reads that wait for rare news wait longer where many processes read

Change: a read of the operators' records waits 4 ms for each entry that there is, between 0.5 s and 0.7 s. That is bounded by the proof's age, which is up to two waits: a proof serves calls with keys for 4.5 s, and 3 s of an outage must be left. The leader's reads wait 0.5 s as before. A read of the directory waits 20 s; connections that go silent are noticed by probes within 4 s, and entries are asked.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -12,9 +12,17 @@
 	"yarrowgrade.example/yarrowgrade/suspend"
 )
 
-// readWait is how long a read waits for news: it bounds the age of the proof, and so how soon after the beginning of an outage
-// calls are turned away because a newer configuration may be in force.
-const readWait = 500 * time.Millisecond
+// How long a read waits for news. It does not delay them; it bounds the age of the proof, which is up to twice as old, and so how soon after the beginning of
+// an outage calls are turned away because a newer configuration may be in force.
+const (
+	// readShare is the wait for each process that reads: together they make some 250 reads a second, as far as the bounds allow.
+	readShare = 4 * time.Millisecond
+	// leastWait is that of a process alone, and of the leader, whose proof goes to agents and grows older there.
+	leastWait = 500 * time.Millisecond
+	// mostWait leaves calls with keys 3 s of an outage in which they are still served: a proof serves for 4.5 s, and is 1.4 s old after
+	// two waits. Users count on no more than these 3 s.
+	mostWait = 700 * time.Millisecond
+)
 
 // Follower keeps what operators have in force: the newest catalog, and the cordoned availability zones.
 type Follower struct {
@@ -32,7 +40,7 @@
 
 // NewFollower returns a follower of operators' records.
 func NewFollower(log jobstore.Log, format Format, logger zerolog.Logger) *Follower {
-	return &Follower{tail: jobstore.NewTail(log, "configuration", readWait, logger), format: format, logger: logger, changed: make(chan struct{})}
+	return &Follower{tail: jobstore.NewTail(log, "configuration", leastWait, logger), format: format, logger: logger, changed: make(chan struct{})}
 }
 
 // WithSuspension sets the clock that counts for how long the machine was suspended: proofs age by that too.
@@ -42,6 +50,17 @@
 	return f
 }
 
+// WithReaders sets how many processes read the records, and whether this one leads. Without it this one reads alone.
+func (f *Follower) WithReaders(readers func() int, leads func() bool) *Follower {
+	f.tail.WithWait(func() time.Duration {
+		if leads() {
+			return leastWait
+		}
+		return min(max(time.Duration(readers())*readShare, leastWait), mostWait)
+	})
+	return f
+}
+
 // Run follows the records until ctx ends.
 func (f *Follower) Run(ctx context.Context) { f.tail.Run(ctx, f.take) }
 
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -107,7 +107,8 @@
 	suspension := suspend.Machine()
 	inLine := func() bool { return e.directory.InLine(s.Node) }
 	e.replica = jobstore.NewReplica(jobs, e.directory.Size, t.Log).WithSuspension(suspension).WithLine(inLine)
-	e.catalog = catalog.NewFollower(topic(platform.OperatorTopic), platform.OperatorFormat(s.ZoneNames()), t.Log).WithSuspension(suspension)
+	e.catalog = catalog.NewFollower(topic(platform.OperatorTopic), platform.OperatorFormat(s.ZoneNames()), t.Log).WithSuspension(suspension).
+		WithReaders(e.directory.Size, e.replica.Leads)
 	// Reads are frequent: they know that the log is slow before the first append does.
 	latency := e.replica.Latency()
 	e.writer = jobstore.NewWriter(jobs, latency, e.replica, e.directory.Entries, address, client, t.Log)
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -30,9 +30,10 @@
 // by less, either leads as well.
 const muchLarger = 2.0
 
-// directoryWait is how long a read of the directory waits for news, which are rare. It also bounds how long a connection that has gone
-// silent keeps them away.
-const directoryWait = 5 * time.Second
+// directoryWait is how long a read of the directory waits for news, which are rare: each process reads it, so with 800 workers and 5 s instead of 20 they
+// make 150 calls a second more. A connection that goes silent meanwhile is noticed by probes within 4 s, and who leads is also
+// learnt from entries.
+const directoryWait = 20 * time.Second
 
 // directoryGap is the least time between two reads. A record that comes alone is read at once; when all entries begin within 0.3 s,
 // their records are read together and not one by one by each entry and agent.
--- a/jobstore/tail.go
+++ b/jobstore/tail.go
@@ -33,7 +33,7 @@
 type Tail struct {
 	log    Log
 	name   string
-	wait   time.Duration
+	wait   func() time.Duration
 	logger zerolog.Logger
 	// gap is the least time between the beginnings of two reads, so that one brings all records that came meanwhile. Hurry ends it
 	// early.
@@ -69,7 +69,7 @@
 // NewTail returns a tail of a topic that waits that long for news in a read. The name stands in its log lines.
 func NewTail(log Log, name string, wait time.Duration, logger zerolog.Logger) *Tail {
 	return &Tail{
-		log: log, name: name, wait: wait, logger: logger, latency: hedge.NewLatency(),
+		log: log, name: name, wait: func() time.Duration { return wait }, logger: logger, latency: hedge.NewLatency(),
 		gap: func() time.Duration { return 0 }, hurry: make(chan struct{}, 1),
 	}
 }
@@ -80,6 +80,12 @@
 	return t
 }
 
+// WithWait sets how long a read waits for news. It is asked for before each read.
+func (t *Tail) WithWait(wait func() time.Duration) *Tail {
+	t.wait = wait
+	return t
+}
+
 // WithSuspension sets the clock that counts for how long the machine was suspended.
 func (t *Tail) WithSuspension(clock suspend.Clock) *Tail {
 	t.clock = clock
@@ -99,13 +105,13 @@
 func (t *Tail) rest(ctx context.Context) time.Duration {
 	gap := t.gap()
 	if gap <= 0 {
-		return t.wait
+		return t.wait()
 	}
 	timer := time.NewTimer(gap - time.Since(t.sent))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return max(t.wait-gap, 0)
+		return max(t.wait()-gap, 0)
 	case <-t.hurry:
 	case <-ctx.Done():
 	}
