--- a/leader/handover_test.go
+++ b/leader/handover_test.go
@@ -32,6 +32,7 @@
 // term. It asks a few, first those that should lead, and others in the next round.
 func TestFewEntriesAreOffered(t *testing.T) {
 	const watched = 2500 * time.Millisecond
+	const atOnce = 5
 	for _, n := range []int{20, 40} {
 		synctest.Test(t, func(t *testing.T) {
 			entries := make([]string, n)
@@ -47,13 +48,13 @@
 			ctx, cancel := context.WithTimeout(t.Context(), watched)
 			defer cancel()
 			tm.handOver(ctx, func() { t.Error("it was handed over") })
-			if len(counted.hosts) < 2*offeredAtOnce {
+			if len(counted.hosts) < 2*atOnce {
 				t.Fatalf("only %d offers were made", len(counted.hosts))
 			}
-			if most := int(watched/handOverPause+1) * offeredAtOnce; len(counted.hosts) > most {
+			if most := int(watched/handOverPause+1) * atOnce; len(counted.hosts) > most {
 				t.Errorf("%d offers to %d entries, want at most %d", len(counted.hosts), n, most)
 			}
-			for _, host := range counted.hosts[:offeredAtOnce] {
+			for _, host := range counted.hosts[:atOnce] {
 				if !slices.Contains(able, host) || host == entries[0] {
 					t.Errorf("the first round asked %s, want one that should lead", host)
 				}
