Entries that are gone are taken off the directory

Cause, found by reading: what an entry announces stays in the directory for good.

Change: the leader looks at those in line and at three others every 2 s, and takes off what it did not reach three times in a row. An entry that finds itself missing announces itself again. The candidate asks the directory itself in place of four functions.

Counted (tests): in 20 s at most 90 looks at 20 and at 40 entries; the one that is gone is off the list and out of the line. Seen red by leaving the looks out.

--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -118,11 +118,13 @@
 	decision := dispatch.DefaultSettings()
 	decision.Forget, decision.Policy = s.Status()+time.Minute, policy
 	e.candidate = leader.New(
-		leader.Settings{Name: s.Node + "/" + uuid.NewString(), Address: address, Timing: leader.DefaultTiming(s.Hold()), Dispatch: decision},
+		leader.Settings{
+			Entry: s.Node, Name: s.Node + "/" + uuid.NewString(), Address: address, Processor: s.Processor(),
+			Timing: leader.DefaultTiming(s.Hold()), Dispatch: decision,
+		},
 		leader.Parts{
-			Log: jobs, Replica: e.replica, Catalog: e.catalog, Directory: e.announced, Adviser: platform.NewAdvice(s, client),
-			Latency: latency, Client: client, Peers: e.directory.Entries, Able: e.directory.Able, InLine: inLine,
-			Larger: func() []string { return e.directory.Larger(s.Processor()) }, Logger: t.Log, Metrics: t.Metrics,
+			Log: jobs, Replica: e.replica, Catalog: e.catalog, Announced: e.announced, Directory: e.directory,
+			Adviser: platform.NewAdvice(s, client), Latency: latency, Client: client, Logger: t.Log, Metrics: t.Metrics,
 			Suspension: suspension,
 		},
 	)
@@ -143,7 +145,7 @@
 	wg.Go(func() { e.directory.Run(running) })
 	wg.Go(func() { e.candidate.Run(running) })
 	wg.Go(func() {
-		jobstore.AnnounceEntry(running, e.announced, e.settings.Node, e.address, e.settings.Processor())
+		e.directory.KeepAnnounced(running, e.announced, e.settings.Node, e.address, e.settings.Processor())
 	})
 	e.telemetry.Log.Info().Str("step", "start").Str("zone", e.settings.Zone).Str("address", e.address).Msg("entry starts")
 	go onHangup(running, e.telemetry.Log, make(chan struct{}))
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -51,7 +51,9 @@
 	// processors is how much processor time entries have, in cores, as far as they say.
 	processors map[string]float64
 	// line holds the entries that are to lead next.
-	line    map[string]bool
+	line map[string]bool
+	// read says that all that there is has been read once.
+	read    bool
 	changed chan struct{}
 }
 
@@ -69,17 +71,18 @@
 	defer d.mu.Unlock()
 	for _, r := range n.Records {
 		if name, ok := strings.CutPrefix(r.Key, entryPrefix); ok {
-			d.takeEntry(name, string(r.Value))
+			d.takeEntry(name, r.Value)
 			continue
 		}
 		if name, ok := strings.CutPrefix(r.Key, processorPrefix); ok {
-			d.takeProcessor(name, string(r.Value))
+			d.takeProcessor(name, r.Value)
 			continue
 		}
 		if o, err := decodeLeader(r.Value); r.Key == leaderKey && err == nil && o.Term >= d.leader.Term {
 			d.leader = o
 		}
 	}
+	d.read = d.read || !n.Proof.IsZero()
 	if len(n.Records) > 0 {
 		d.drawLine()
 		close(d.changed)
@@ -87,8 +90,13 @@
 	}
 }
 
-// takeEntry notes where an entry is reached. An address that can't be one changes nothing. The lock must be held.
-func (d *Directory) takeEntry(name, address string) {
+// takeEntry notes where an entry is reached, or that it is gone. An address that can't be one changes nothing. The lock must be held.
+func (d *Directory) takeEntry(name string, value []byte) {
+	if value == nil {
+		delete(d.entries, name)
+		return
+	}
+	address := string(value)
 	if strings.ContainsFunc(address, func(c rune) bool { return c <= ' ' || c >= unicode.MaxASCII || c == '/' }) || address == "" {
 		d.logger.Error().Str("step", "jobstore.directory").Str("entry", name).Msg("address is unreadable")
 		return
@@ -96,9 +104,13 @@
 	d.entries[name] = address
 }
 
-// takeProcessor notes how much processor time an entry has. The lock must be held.
-func (d *Directory) takeProcessor(name, value string) {
-	cores, err := strconv.ParseFloat(value, 64)
+// takeProcessor notes how much processor time an entry has, or that it is gone. The lock must be held.
+func (d *Directory) takeProcessor(name string, value []byte) {
+	if value == nil {
+		delete(d.processors, name)
+		return
+	}
+	cores, err := strconv.ParseFloat(string(value), 64)
 	if err != nil {
 		d.logger.Error().Str("step", "jobstore.directory").Str("entry", name).Err(err).Msg("processor time is unreadable")
 		return
@@ -219,6 +231,58 @@
 	return len(d.entries)
 }
 
+// Listed returns the addresses of the entries by their names.
+func (d *Directory) Listed() map[string]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.entries)
+}
+
+// Line returns the names of the few that are to lead next, in order.
+func (d *Directory) Line() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.line))
+}
+
+// misses reports whether an entry is not listed, though the directory has been read.
+func (d *Directory) misses(name, address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.read && d.entries[name] != address
+}
+
+// KeepAnnounced says where an entry is reached and how much processor time it has, as AnnounceEntry does, and again when that is no longer listed: the leader
+// takes entries off that it does not reach, and this one may only have been cut off.
+func (d *Directory) KeepAnnounced(ctx context.Context, log Log, name, address string, cores float64) {
+	for ctx.Err() == nil {
+		AnnounceEntry(ctx, log, name, address, cores)
+		// What was read before the announcement says nothing.
+		pause.For(ctx, announceAgain)
+		for changed := d.Changed(); ctx.Err() == nil && !d.misses(name, address); changed = d.Changed() {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// announceAgain is the least time between two announcements of an entry.
+const announceAgain = 5 * time.Second
+
+// RemoveEntries takes entries off the directory.
+func RemoveEntries(ctx context.Context, log Log, names []string) error {
+	var records []Record
+	for _, name := range names {
+		records = append(records, Record{Key: entryPrefix + name}, Record{Key: processorPrefix + name})
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	_, err := log.Append(ctx, records, Condition{})
+	return err
+}
+
 // AnnounceEntry says where an entry is reached and how much processor time it has, in cores, and tries until that is kept. Zero cores
 // are not told.
 func AnnounceEntry(ctx context.Context, log Log, name, address string, cores float64) {
--- a/jobtest/system_test.go
+++ b/jobtest/system_test.go
@@ -203,8 +203,11 @@
 	writer := jobstore.NewWriter(log, latency, replica, directory.Entries, p.name, client, logger)
 	p.admission = admission.New(admission.Settings{KeyProof: 5 * time.Second}, admission.Parts{Writer: writer, Replica: replica, Catalog: follower, Logger: logger, Metrics: tally.NoopScope})
 	candidate := leader.New(
-		leader.Settings{Name: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Timing: leader.DefaultTiming(lease), Dispatch: dispatch.DefaultSettings()},
-		leader.Parts{Log: log, Replica: replica, Catalog: follower, Directory: announced, Latency: latency, Client: client, Peers: directory.Entries, Able: directory.Able, InLine: inLine, Larger: func() []string { return directory.Larger(p.cores) }, Logger: logger, Metrics: tally.NoopScope},
+		leader.Settings{
+			Entry: p.name, Name: fmt.Sprintf("%s/%d", p.name, p.life), Address: p.name, Processor: p.cores,
+			Timing: leader.DefaultTiming(lease), Dispatch: dispatch.DefaultSettings(),
+		},
+		leader.Parts{Log: log, Replica: replica, Catalog: follower, Announced: announced, Directory: directory, Latency: latency, Client: client, Logger: logger, Metrics: tally.NoopScope},
 	)
 	p.candidate = candidate
 	r := httprouter.New()
@@ -217,7 +220,7 @@
 	go follower.Run(ctx)
 	go directory.Run(ctx)
 	go candidate.Run(ctx)
-	go jobstore.AnnounceEntry(ctx, announced, p.name, p.name, p.cores)
+	go directory.KeepAnnounced(ctx, announced, p.name, p.name, p.cores)
 }
 
 func (s *system) startAgent(i int) {
--- a/leader/counts_test.go
+++ b/leader/counts_test.go
@@ -194,17 +194,18 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() { cancel(); time.Sleep(10 * time.Second) }()
 		scope := tally.NewTestScope("", nil)
-		log, config, directory := jobtest.NewLog(1), jobtest.NewLog(2), jobtest.NewLog(3)
+		log, config, announced := jobtest.NewLog(1), jobtest.NewLog(2), jobtest.NewLog(3).Client("e")
+		directory := jobstore.NewDirectory(announced, zerolog.Nop())
 		replica := jobstore.NewReplica(log.Client("e"), func() int { return 1 }, zerolog.Nop())
 		follower := catalog.NewFollower(config.Client("e"), catalog.Format{ConfigKey: "config"}, zerolog.Nop())
-		settings := Settings{Name: "e/1", Address: "e", Timing: DefaultTiming(6 * time.Second), Dispatch: dispatch.DefaultSettings()}
-		nobody := func() []string { return nil }
+		settings := Settings{Entry: "e", Name: "e/1", Address: "e", Timing: DefaultTiming(6 * time.Second), Dispatch: dispatch.DefaultSettings()}
 		c := New(settings, Parts{
-			Log: log.Client("e"), Replica: replica, Catalog: follower, Directory: directory.Client("e"), Latency: replica.Latency(),
-			Peers: nobody, Able: nobody, InLine: func() bool { return true }, Larger: nobody, Logger: zerolog.Nop(), Metrics: scope,
+			Log: log.Client("e"), Replica: replica, Catalog: follower, Announced: announced, Directory: directory, Latency: replica.Latency(),
+			Logger: zerolog.Nop(), Metrics: scope,
 		})
 		go replica.Run(ctx)
 		go follower.Run(ctx)
+		go directory.Run(ctx)
 		go c.Run(ctx)
 		time.Sleep(5 * time.Second)
 		before := roundsIn(scope)
--- a/leader/election.go
+++ b/leader/election.go
@@ -37,7 +37,7 @@
 		}
 		// Those that are not in line read less often, and leave the others time to take over.
 		deference := time.Duration(0)
-		if !c.parts.InLine() {
+		if !c.parts.Directory.InLine(c.settings.Entry) {
 			deference = c.settings.Timing.Deference
 		}
 		// While the log is slow, so are the signs.
--- a/leader/handover.go
+++ b/leader/handover.go
@@ -40,7 +40,7 @@
 	began := time.Now()
 	wait := max(handOverAfter, 2*t.parts.Latency.Patience(0))
 	// Those that should lead are asked first; if none of them will, anybody is.
-	for others := t.parts.Able; pause.For(ctx, wait); others = t.parts.Peers {
+	for others := t.parts.Directory.Able; pause.For(ctx, wait); others = t.parts.Directory.Entries {
 		if t.offer(ctx, others(), time.Since(began)) {
 			handed()
 			return
@@ -86,10 +86,11 @@
 	yieldAsked = 3
 )
 
-// yieldToLarger offers leadership to larger entries, a few at a time, until ctx ends, which it does when one has claimed it.
-func (t *term) yieldToLarger(ctx context.Context) {
+// yieldToLarger offers leadership to entries with much more than that many cores, a few at a time, until ctx ends, which it does when one has claimed
+// it.
+func (t *term) yieldToLarger(ctx context.Context, cores float64) {
 	for pause.For(ctx, yieldEvery) {
-		for _, address := range jobstore.Draw(t.parts.Larger(), yieldAsked) {
+		for _, address := range jobstore.Draw(t.parts.Directory.Larger(cores), yieldAsked) {
 			if t.offerTo(ctx, address, 0) {
 				break
 			}
@@ -132,7 +133,7 @@
 		return errSucceeded
 	}
 	failing := time.Duration(offer.FailingMillis) * time.Millisecond
-	if failing < c.settings.Timing.Deference && len(c.parts.Larger()) > 0 {
+	if failing < c.settings.Timing.Deference && len(c.parts.Directory.Larger(c.settings.Processor)) > 0 {
 		return errLarger
 	}
 	if watched := c.parts.Replica.Watched(); watched < failing {
--- a/leader/handover_test.go
+++ b/leader/handover_test.go
@@ -2,63 +2,133 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"yarrowgrade.example/yarrowgrade/hedge"
 	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
 )
 
-// countingTransport refuses each offer and notes to whom it was made.
+// countingTransport notes who was called. Those at an address that is gone can't be reached, the others answer with an empty object or, if refusing is set,
+// with a conflict.
 type countingTransport struct {
-	mu    sync.Mutex
-	hosts []string
+	mu       sync.Mutex
+	hosts    []string
+	gone     map[string]bool
+	refusing bool
 }
 
 func (c *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hosts = append(c.hosts, r.URL.Host)
-	return nil, errors.New("refused")
+	if c.gone[r.URL.Host] {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	status := http.StatusOK
+	if c.refusing {
+		status = http.StatusConflict
+	}
+	return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader("{}")), Header: http.Header{}, Request: r}, nil
+}
+
+// withTerm runs a test with a term of the first of n entries, half of which have little processor time.
+func withTerm(t *testing.T, n int, f func(t *testing.T, ctx context.Context, tm *term, calls *countingTransport)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); time.Sleep(30 * time.Second) }()
+		log := jobtest.NewLog(1)
+		for i := range n {
+			jobstore.AnnounceEntry(ctx, log.Client("e"), fmt.Sprintf("entry-%d", i), addressOf(i), 0.2+0.8*float64(i%2))
+		}
+		directory := jobstore.NewDirectory(log.Client("e"), zerolog.Nop())
+		go directory.Run(ctx)
+		time.Sleep(time.Second)
+		calls := &countingTransport{gone: map[string]bool{}}
+		f(t, ctx, &term{leader: jobstore.Leader{Term: 1, Name: "e", Address: addressOf(1)}, parts: Parts{
+			Client: &http.Client{Transport: calls}, Latency: hedge.NewLatency(), Announced: log.Client("e"), Directory: directory, Logger: zerolog.Nop(),
+		}}, calls)
+	})
 }
 
+func addressOf(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
+
 // TestFewEntriesAreOffered: a leader that did not reach the store asked all other entries at once to lead, and each that would claimed the next
 // term. It asks a few, first those that should lead, and others in the next round.
 func TestFewEntriesAreOffered(t *testing.T) {
 	const watched = 2500 * time.Millisecond
 	const atOnce = 5
 	for _, n := range []int{20, 40} {
-		synctest.Test(t, func(t *testing.T) {
-			entries := make([]string, n)
-			for i := range entries {
-				entries[i] = fmt.Sprintf("10.0.0.%d:7000", i)
-			}
-			able := entries[:n/2]
-			counted := &countingTransport{}
-			tm := &term{leader: jobstore.Leader{Term: 1, Name: "e", Address: entries[0]}, parts: Parts{
-				Client: &http.Client{Transport: counted}, Latency: hedge.NewLatency(),
-				Peers: func() []string { return entries }, Able: func() []string { return able },
-			}}
-			ctx, cancel := context.WithTimeout(t.Context(), watched)
+		withTerm(t, n, func(t *testing.T, ctx context.Context, tm *term, calls *countingTransport) {
+			calls.refusing = true
+			able := tm.parts.Directory.Able()
+			ctx, cancel := context.WithTimeout(ctx, watched)
 			defer cancel()
 			tm.handOver(ctx, func() { t.Error("it was handed over") })
-			if len(counted.hosts) < 2*atOnce {
-				t.Fatalf("only %d offers were made", len(counted.hosts))
+			if len(calls.hosts) < 2*atOnce {
+				t.Fatalf("only %d offers were made", len(calls.hosts))
 			}
-			if most := int(watched/handOverPause+1) * atOnce; len(counted.hosts) > most {
-				t.Errorf("%d offers to %d entries, want at most %d", len(counted.hosts), n, most)
+			if most := int(watched/handOverPause+1) * atOnce; len(calls.hosts) > most {
+				t.Errorf("%d offers to %d entries, want at most %d", len(calls.hosts), n, most)
 			}
-			for _, host := range counted.hosts[:atOnce] {
-				if !slices.Contains(able, host) || host == entries[0] {
+			for _, host := range calls.hosts[:atOnce] {
+				if !slices.Contains(able, host) || host == addressOf(1) {
 					t.Errorf("the first round asked %s, want one that should lead", host)
 				}
 			}
 		})
 	}
 }
+
+// TestGoneEntriesArePruned: what an entry had announced stayed for good, so that after months most of those that were asked were boxes that nobody had any more.
+// The leader takes those off that it does not reach three times in a row, at a cost that does not grow with the entries.
+func TestGoneEntriesArePruned(t *testing.T) {
+	for _, n := range []int{20, 40} {
+		withTerm(t, n, func(t *testing.T, ctx context.Context, tm *term, calls *countingTransport) {
+			gone := tm.parts.Directory.Line()[0]
+			calls.gone[tm.parts.Directory.Listed()[gone]] = true
+			const watched = 20 * time.Second
+			go tm.prune(ctx)
+			time.Sleep(watched)
+			listed := tm.parts.Directory.Listed()
+			if _, ok := listed[gone]; ok || len(listed) != n-1 {
+				t.Errorf("%d of %d are listed, want all but %s", len(listed), n, gone)
+			}
+			if line := tm.parts.Directory.Line(); len(line) != 5 || slices.Contains(line, gone) {
+				t.Errorf("in line are %v, want five that are there", line)
+			}
+			// Five in line and three others in each round, and one that is missed.
+			if most := int(watched/pruneEvery) * (5 + 3 + 1); len(calls.hosts) > most {
+				t.Errorf("%d calls in %v with %d entries, want at most %d", len(calls.hosts), watched, n, most)
+			}
+		})
+	}
+}
+
+// TestEntryAnnouncesItselfAgain: an entry that was taken off the directory although it lives is back in it soon.
+func TestEntryAnnouncesItselfAgain(t *testing.T) {
+	withTerm(t, 4, func(t *testing.T, ctx context.Context, tm *term, _ *countingTransport) {
+		d := tm.parts.Directory
+		go d.KeepAnnounced(ctx, tm.parts.Announced, "entry-9", addressOf(9), 1)
+		time.Sleep(10 * time.Second)
+		if err := jobstore.RemoveEntries(ctx, tm.parts.Announced, []string{"entry-9", "entry-2"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if listed := d.Listed(); listed["entry-9"] != addressOf(9) || listed["entry-2"] != "" {
+			t.Errorf("listed are %v, want entry-9 and not entry-2", listed)
+		}
+	})
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -82,10 +82,13 @@
 
 // Settings of a candidate.
 type Settings struct {
-	// Name names this life of the entry; Address is where agents reach it.
+	// Entry is the entry's name in the directory, Name names this life of it, and Address is where agents reach it.
+	Entry   string
 	Name    string
 	Address string
-	Timing  Timing
+	// Processor is how much processor time it has, in cores; zero if that is not known.
+	Processor float64
+	Timing    Timing
 	// Dispatch is how it decides when it leads.
 	Dispatch dispatch.Settings
 }
@@ -95,20 +98,15 @@
 	Log     jobstore.Log
 	Replica *jobstore.Replica
 	Catalog *catalog.Follower
-	// Directory is the topic in which agents look for the leader.
-	Directory jobstore.Log
+	// Announced is the topic in which agents look for the leader, and Directory what this process has read of it.
+	Announced jobstore.Log
+	Directory *jobstore.Directory
 	// Adviser may be nil where no queue needs advice.
 	Adviser dispatch.Adviser
 	// Latency is that of the log's appends, as all of this process learn it.
 	Latency *hedge.Latency
-	// Client calls other entries; Peers returns the addresses of all of them, Able of those to which none is much larger.
+	// Client calls other entries.
 	Client *http.Client
-	Peers  func() []string
-	Able   func() []string
-	// InLine reports whether this entry is one of the few that are to lead next.
-	InLine func() bool
-	// Larger returns the addresses of those entries that have much more processor time than this one.
-	Larger func() []string
 	// Suspension counts for how long this machine was suspended.
 	Suspension suspend.Clock
 	Logger     zerolog.Logger
@@ -203,8 +201,9 @@
 	if err := t.renew(ctx); err != nil {
 		return err
 	}
-	go jobstore.AnnounceLeader(ctx, c.parts.Directory, leader)
-	go t.yieldToLarger(ctx)
+	go jobstore.AnnounceLeader(ctx, c.parts.Announced, leader)
+	go t.yieldToLarger(ctx, c.settings.Processor)
+	go t.prune(ctx)
 	for {
 		handedIn, ruled := c.parts.Replica.News(), c.parts.Catalog.Changed()
 		worked, err := c.pass(ctx, t, d, began)
