What has not changed is not told again in a poll

The bytes, and the time to take them apart, grow with the runs of all workers, also when nothing happens.

Change: a poll that differs from the newest one that described the worker only in how far its runs have come names that poll by its number and brings a percentage for each run. The leader says on which poll may be built. On one that it does not have nothing follows, and the agent tells all again. Checkpoints are no longer told in polls: the leader learns them from ends and never read them there.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -60,8 +60,8 @@
 	RunID
 	// Percent is how much of the task is done; -1 while it is not known to be there.
 	Percent int `json:"p"`
-	// Saved is the newest checkpoint.
-	Saved string `json:"s,omitempty"`
+	// Saved is the newest checkpoint. The leader learns it from the end of the run.
+	Saved string `json:"-"`
 	// AgeMillis is for how long the run has been there; zero if the agent did not see the start.
 	AgeMillis int64 `json:"age_ms,omitempty"`
 	// ListedMillis is how old the run was when the worker said the percentage; zero if that is not known.
@@ -149,6 +149,39 @@
 	Seen int64 `json:"seen,omitempty"`
 	// Wait says that the answer may be held until there is something to say.
 	Wait bool `json:"wait,omitempty"`
+	// Since, if it is set, takes the place of all that describes the worker: nothing has changed but how far its runs have come.
+	Since *Since `json:"since,omitempty"`
+}
+
+// Since says how far runs have come since an earlier poll of the same agent that described the worker, and that all else is as it was.
+type Since struct {
+	// Sequence is that poll's, Millis for how long ago it was made.
+	Sequence int64 `json:"seq"`
+	Millis   int64 `json:"ms"`
+	// ListedMillis is how much later the worker has said the percentages, which are in the order of that poll's runs.
+	ListedMillis int64 `json:"listed_ms"`
+	Percents     []int `json:"p"`
+}
+
+// On returns the poll as it would be if it described the worker itself, and false if base is not the poll that its Since is about.
+func (p Poll) On(base Poll) (Poll, bool) {
+	s := p.Since
+	if s == nil || s.Sequence != base.Sequence || p.Agent != base.Agent || len(s.Percents) != len(base.Runs) {
+		return p, false
+	}
+	p.Since, p.Life, p.Listed, p.Seen = nil, base.Life, base.Listed, base.Seen
+	p.Runs = make([]Run, len(base.Runs))
+	for i, r := range base.Runs {
+		r.Percent = s.Percents[i]
+		if r.AgeMillis > 0 {
+			r.AgeMillis += s.Millis
+		}
+		if r.ListedMillis > 0 {
+			r.ListedMillis += s.ListedMillis
+		}
+		p.Runs[i] = r
+	}
+	return p, true
 }
 
 // Start is a run that should be there.
@@ -194,6 +227,8 @@
 	// Heard is the sequence number of the newest poll all of whose news are kept. Polls may overtake one another, and only
 	// the newest that has arrived is taken over.
 	Heard int64 `json:"heard,omitempty"`
+	// Base is the sequence number of the newest poll that described the worker, on which the agent's polls may build; zero if the leader has none.
+	Base int64 `json:"base,omitempty"`
 }
 
 // Held and Lease as durations.
--- a/leader/counts_test.go
+++ b/leader/counts_test.go
@@ -247,3 +247,26 @@
 		}
 	}
 }
+
+// TestPollsBuildOnOthers: a poll that says only what has changed is answered like the full one, and one that builds on a poll which this leader does not have starts and
+// stops nothing: the agent is told on which it may build.
+func TestPollsBuildOnOthers(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, l *leases, _ *counter) {
+		brief := agentPoll(0, 2, 0)
+		brief.Wait, brief.Life, brief.Runs, brief.Listed = false, nil, nil, false
+		brief.Since = &assignment.Since{Sequence: 1, Percents: []int{30}}
+		if a := ask(t, l, brief); a.LeaseMillis == 0 || len(a.Start)+len(a.Stop) != 0 || a.Base != 1 {
+			t.Errorf("it is answered with %+v", a)
+		}
+		if got := l.take()["w-0"].poll; len(got.Runs) != 1 || got.Runs[0].Percent != 30 || got.Sequence != 2 {
+			t.Errorf("the decision gets %+v", got)
+		}
+		brief.Sequence, brief.Since = 3, &assignment.Since{Sequence: 2, Percents: []int{40}}
+		if a := ask(t, l, brief); a.LeaseMillis != 0 || len(a.Start)+len(a.Stop) != 0 || a.Base != 1 || !a.Life.IsZero() {
+			t.Errorf("on a poll that is not known here it is answered with %+v", a)
+		}
+		if got := len(l.take()); got != 0 {
+			t.Errorf("%d polls are taken over", got)
+		}
+	})
+}
--- a/leader/leases.go
+++ b/leader/leases.go
@@ -25,6 +25,8 @@
 	poll    assignment.Poll
 	arrived time.Time
 	news    bool
+	// base is the newest poll that described the worker: later ones say only what has changed since.
+	base assignment.Poll
 	// life is the newest that a poll has listed, formerLives those before it, the newest first.
 	life        life.ID
 	formerLives []life.ID
@@ -133,9 +135,13 @@
 // serve answers a poll, or returns false if this entry does not lead, or not in the term that the agent knows.
 func (l *leases) serve(ctx context.Context, poll assignment.Poll) (assignment.Answer, bool) {
 	arrived := time.Now()
-	if !l.receive(poll) {
+	poll, ok := l.receive(poll)
+	if !ok {
 		return assignment.Answer{}, false
 	}
+	if poll.Since != nil {
+		return l.askAnew(poll)
+	}
 	deadline := time.NewTimer(l.timing.Hold)
 	defer deadline.Stop()
 	for held := true; ; {
@@ -153,29 +159,39 @@
 	}
 }
 
-// receive takes the news of a poll.
-func (l *leases) receive(poll assignment.Poll) bool {
+// receive takes the news of a poll, and returns it as it describes the worker. One that builds on a poll which is not known here is returned as it came.
+func (l *leases) receive(poll assignment.Poll) (assignment.Poll, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term == 0 || poll.Term > l.term {
-		return false
+		return poll, false
 	}
 	l.heard = time.Now()
 	p := l.agentOf(poll.Worker)
 	if p.former[poll.Agent] {
-		return false
+		return poll, false
 	}
 	if p.agent != poll.Agent {
 		if p.agent != "" {
 			p.former[p.agent] = true
 		}
-		p.agent, p.sequence, p.taken, p.heard, p.poll = poll.Agent, 0, 0, 0, assignment.Poll{}
+		p.agent, p.sequence, p.taken, p.heard, p.poll, p.base = poll.Agent, 0, 0, 0, assignment.Poll{}, assignment.Poll{}
 		p.wake()
 		l.fences++
 		p.fence = l.term<<fenceBits + l.fences
 	}
+	described := poll.Since == nil
+	if !described {
+		var known bool
+		if poll, known = poll.On(p.base); !known {
+			return poll, true
+		}
+	}
 	if poll.Sequence <= p.sequence {
-		return true
+		return poll, true
+	}
+	if described {
+		p.base = poll
 	}
 	// What brings nothing to decide on is taken with the next decision: an agent polls twice a second, and if each of its polls made one,
 	// decisions times workers would grow with the square of the workers.
@@ -183,13 +199,25 @@
 	p.sequence, p.poll, p.arrived, p.news = poll.Sequence, poll, l.heard, true
 	p.noteLife(poll)
 	if !decides {
-		return true
+		return poll, true
 	}
 	select {
 	case l.news <- struct{}{}:
 	default:
 	}
-	return true
+	return poll, true
+}
+
+// askAnew is the answer to a poll that builds on one which is not known here: the agent is to describe the worker, and nothing follows from what it
+// has not said.
+func (l *leases) askAnew(poll assignment.Poll) (assignment.Answer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.agents[poll.Worker]
+	if l.term == 0 || p == nil || p.agent != poll.Agent {
+		return assignment.Answer{}, false
+	}
+	return assignment.Answer{Term: l.term, Fence: p.fence, Heard: p.heard, Base: p.base.Sequence}, true
 }
 
 // agentOf returns what is known of a worker. The lock must be held.
@@ -247,7 +275,7 @@
 	}
 	a = assignment.Answer{
 		Term: l.term, Fence: p.fence,
-		HeldMillis: now.Sub(arrived).Milliseconds(), LeaseMillis: lease.Milliseconds(), Heard: p.heard,
+		HeldMillis: now.Sub(arrived).Milliseconds(), LeaseMillis: lease.Milliseconds(), Heard: p.heard, Base: p.base.Sequence,
 	}
 	if lease > 0 {
 		p.granted = now
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -178,6 +178,9 @@
 	listedAt time.Time
 	pacer    pacer
 	sequence int64
+	// described is the newest poll that described the worker, and base the sequence number of the newest one that the leader says it has.
+	described described
+	base      int64
 	// generation counts lives, so that what was under way for an earlier one is dropped.
 	generation int
 
@@ -274,7 +277,7 @@
 		return p, r.generation
 	}
 	for id, k := range r.runs {
-		p.Runs = append(p.Runs, assignment.Run{RunID: id, Percent: k.percent, Saved: k.saved, AgeMillis: k.age().Milliseconds(), ListedMillis: k.listedAge().Milliseconds()})
+		p.Runs = append(p.Runs, assignment.Run{RunID: id, Percent: k.percent, AgeMillis: k.age().Milliseconds(), ListedMillis: k.listedAge().Milliseconds()})
 	}
 	for _, n := range slices.Sorted(maps.Keys(r.ends)) {
 		p.Ends = append(p.Ends, r.ends[n])
@@ -282,7 +285,7 @@
 	for _, refused := range r.refused {
 		p.Refused = append(p.Refused, refused.Refusal)
 	}
-	return p, r.generation
+	return r.shorten(p), r.generation
 }
 
 // obey takes over a leader's answer to a poll.
@@ -297,7 +300,7 @@
 		// What was refused or listed under the old term is told again; the fence must reach the worker first.
 		r.term, r.room.heard = a.Term, 0
 	}
-	r.room.heard = max(r.room.heard, a.Heard)
+	r.room.heard, r.base = max(r.room.heard, a.Heard), a.Base
 	if a.Fence > r.fence {
 		r.fence, r.listed = a.Fence, false
 		signal(r.extend)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -28,6 +28,9 @@
 	heard  bool
 	polls  []assignment.Poll
 	down   bool
+	// keeps says that it keeps polls that describe the worker, so that later ones may build on them.
+	keeps bool
+	base  int64
 	// during happens while each poll is under way, if it is set.
 	during func()
 }
@@ -49,6 +52,10 @@
 		return assignment.Answer{}, context.DeadlineExceeded
 	}
 	a := o.answer
+	if o.keeps && p.Since == nil {
+		o.base = max(o.base, p.Sequence)
+	}
+	a.Base = o.base
 	if p.Wait {
 		a.HeldMillis = 300
 	}
