Few entries read the operators' records, and tell the others

Cause: each entry read each configuration from the store, 60 KB with 250 routes, and once or twice a second whether there was one: calls and bytes grow with M, and with changes x M, though nothing but the proof's age depends on who has read.

Change: the five that are in line to lead, and the leader, read. The others ask one of these, drawn anew each time, and are told the records and how old the proof is; they count it from when they asked. When that fails, or the proof is older than 1.2 s, they read as before and leave that source alone for 5 s. Two ways were weighed: longer waits (the test showed that a proof then leaves too little of an outage), and this one, which also keeps an entry in service that the store alone turns away.

Counted (tests with mutations, red before): reads of the log by 20 and by 40 that are told, for five changes in 10 s: 400 and more -> 0; the proof never older than 1.5 s, a change in force within 10 ms.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -27,6 +27,7 @@
 // Follower keeps what operators have in force: the newest catalog, and the cordoned availability zones.
 type Follower struct {
 	tail   *jobstore.Tail
+	source *jobstore.Source
 	format Format
 	logger zerolog.Logger
 
@@ -40,12 +41,12 @@
 
 // NewFollower returns a follower of operators' records.
 func NewFollower(log jobstore.Log, format Format, logger zerolog.Logger) *Follower {
-	return &Follower{tail: jobstore.NewTail(log, "configuration", leastWait, logger), format: format, logger: logger, changed: make(chan struct{})}
+	return &Follower{tail: jobstore.NewTail(log, "configuration", leastWait, logger), source: jobstore.NewSource(nil), format: format, logger: logger, changed: make(chan struct{})}
 }
 
 // WithSuspension sets the clock that counts for how long the machine was suspended: proofs age by that too.
 func (f *Follower) WithSuspension(clock suspend.Clock) *Follower {
-	f.clock = clock
+	f.clock, f.source = clock, jobstore.NewSource(clock)
 	f.tail.WithSuspension(clock)
 	return f
 }
@@ -61,8 +62,19 @@
 	return f
 }
 
+// NewsPath is where an entry hands on what it has read of operators' records.
+const NewsPath = "/internal/operators/news"
+
+// Source hands on what is read of operators' records.
+func (f *Follower) Source() *jobstore.Source { return f.source }
+
 // Run follows the records until ctx ends.
-func (f *Follower) Run(ctx context.Context) { f.tail.Run(ctx, f.take) }
+func (f *Follower) Run(ctx context.Context) {
+	f.tail.Run(ctx, func(n jobstore.News) {
+		f.take(n)
+		f.source.Take(n)
+	})
+}
 
 // take puts in force what the records say.
 func (f *Follower) take(n jobstore.News) {
--- /dev/null
+++ b/catalog/relay_test.go
@@ -0,0 +1,175 @@
+package catalog_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/catalog"
+	"yarrowgrade.example/yarrowgrade/hosting/standin"
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+)
+
+// relays are followers of which some read the log and the others are told by these.
+type relays struct {
+	ctx     context.Context
+	log     *jobtest.Log
+	network *standin.Network
+	reads   *countedLog
+	told    []*catalog.Follower
+	readers []*catalog.Follower
+	sources []string
+}
+
+// withRelays runs a test with two followers that read the log and n that are told.
+func withRelays(t *testing.T, n int, f func(t *testing.T, r *relays)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &relays{ctx: ctx, log: jobtest.NewLog(1), network: standin.NewNetwork(), sources: []string{"source-0", "source-1"}}
+		defer func() { r.network.Heal(); cancel(); time.Sleep(30 * time.Second) }()
+		r.put(t, 1)
+		r.reads = &countedLog{Log: r.log.Client("told")}
+		format := catalog.Format{ConfigKey: "config", Config: decode}
+		follow := func(log jobstore.Log) *catalog.Follower {
+			fo := catalog.NewFollower(log, format, zerolog.Nop()).WithReaders(func() int { return n }, func() bool { return false })
+			go fo.Run(ctx)
+			return fo
+		}
+		for _, name := range r.sources {
+			mux := http.NewServeMux()
+			reader := follow(r.log.Client(name))
+			r.readers = append(r.readers, reader)
+			mux.Handle(catalog.NewsPath, reader.Source())
+			r.network.Attach("http://"+name, mux)
+		}
+		for i := range n {
+			client := r.network.Client(fmt.Sprintf("http://told-%d", i))
+			r.told = append(r.told, follow(jobstore.NewRelay(r.reads, catalog.NewsPath, client, func() []string { return r.sources }, zerolog.Nop())))
+		}
+		time.Sleep(3 * time.Second)
+		f(t, r)
+	})
+}
+
+func (r *relays) put(t *testing.T, version int) {
+	t.Helper()
+	record := jobstore.Record{Key: "config", Value: fmt.Append(nil, version)}
+	if _, err := r.log.Client("operator").Append(r.ctx, []jobstore.Record{record}, jobstore.Condition{}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// oldest is the age of the oldest proof of those that are told.
+func (r *relays) oldest() time.Duration {
+	oldest := time.Duration(0)
+	for _, f := range r.told {
+		_, proof := f.Current()
+		oldest = max(oldest, time.Since(proof))
+	}
+	return oldest
+}
+
+// TestNewsAreHandedOn: each of 183 entries read each configuration from the store, and twice a second whether there was one: 366 calls a second, and 60 KB for each
+// entry and change. A few read it, the others hear it from them as soon, and their proof stays as young as that of a reader.
+func TestNewsAreHandedOn(t *testing.T) {
+	for _, n := range []int{20, 40} {
+		withRelays(t, n, func(t *testing.T, r *relays) {
+			before := r.reads.reads.Load()
+			for version := 2; version < 7; version++ {
+				r.put(t, version)
+				time.Sleep(10 * time.Millisecond)
+				for i, f := range r.told {
+					if c, _ := f.Current(); c.Version != int64(version) {
+						t.Errorf("10 ms after version %d was kept, %d of %d has %d", version, i, n, c.Version)
+					}
+				}
+				for range 200 {
+					time.Sleep(10 * time.Millisecond)
+					if age := r.oldest(); age > 1500*time.Millisecond {
+						t.Fatalf("a proof is %v old, want at most 1.5 s", age)
+					}
+				}
+			}
+			if got := r.reads.reads.Load() - before; got != 0 {
+				t.Errorf("%d reads of the log by %d that are told, want none", got, n)
+			}
+		})
+	}
+}
+
+// TestRelayedProofIsNotYounger: keys that were taken away must not be served on a proof that claims to be younger than it is. Those that are told never have one from
+// after the newest of those that tell them, nor from after the moment at which all ways to the log were cut.
+func TestRelayedProofIsNotYounger(t *testing.T) {
+	withRelays(t, 4, func(t *testing.T, r *relays) {
+		for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(7 * time.Millisecond) {
+			var newest time.Time
+			for _, f := range r.readers {
+				if _, proof := f.Current(); proof.After(newest) {
+					newest = proof
+				}
+			}
+			for i, f := range r.told {
+				if _, proof := f.Current(); proof.After(newest) {
+					t.Fatalf("%d has a proof %v younger than any that could be handed on", i, proof.Sub(newest))
+				}
+			}
+		}
+		for _, name := range append([]string{"told"}, r.sources...) {
+			r.log.SetFault(name, jobtest.Fault{Silent: true})
+		}
+		for cut := time.Now(); time.Since(cut) < 6*time.Second; time.Sleep(7 * time.Millisecond) {
+			for i, f := range r.told {
+				if _, proof := f.Current(); proof.After(cut) {
+					t.Fatalf("%v after the cut, %d has a proof from %v after it", time.Since(cut), i, proof.Sub(cut))
+				}
+			}
+		}
+	})
+}
+
+// TestRelayFailures: what is told stays good while this process has lost its way to the log; and where nobody tells, it reads.
+func TestRelayFailures(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(r *relays)
+		most time.Duration
+	}{
+		{"told ones are turned away by the log", func(r *relays) { r.log.SetFault("told", jobtest.Fault{Refuse: true}) }, 1500 * time.Millisecond},
+		{"sources are turned away by the log", func(r *relays) {
+			for _, name := range r.sources {
+				r.log.SetFault(name, jobtest.Fault{Refuse: true})
+			}
+		}, 2500 * time.Millisecond},
+		{"one source is gone", func(r *relays) { r.network.Kill("http://source-0") }, 2500 * time.Millisecond},
+		{"sources are silent", func(r *relays) {
+			for _, name := range r.sources {
+				r.network.Freeze("http://" + name)
+			}
+		}, 2500 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withRelays(t, 4, func(t *testing.T, r *relays) {
+				test.fail(r)
+				for began := time.Now(); time.Since(began) < 20*time.Second; time.Sleep(10 * time.Millisecond) {
+					if age := r.oldest(); age > test.most {
+						t.Fatalf("%v later a proof is %v old, want at most %v", time.Since(began), age, test.most)
+					}
+				}
+				r.put(t, 2)
+				time.Sleep(time.Second)
+				for i, f := range r.told {
+					if c, _ := f.Current(); c.Version != 2 {
+						t.Errorf("a second after version 2 was kept, %d has %d", i, c.Version)
+					}
+				}
+			})
+		})
+	}
+}
--- a/cmd/yarrowgraded/jobentry.go
+++ b/cmd/yarrowgraded/jobentry.go
@@ -107,7 +107,7 @@
 	suspension := suspend.Machine()
 	inLine := func() bool { return e.directory.InLine(s.Node) }
 	e.replica = jobstore.NewReplica(jobs, e.directory.Size, t.Log).WithSuspension(suspension).WithLine(inLine)
-	e.catalog = catalog.NewFollower(topic(platform.OperatorTopic), platform.OperatorFormat(s.ZoneNames()), t.Log).WithSuspension(suspension).
+	e.catalog = catalog.NewFollower(jobstore.NewRelay(topic(platform.OperatorTopic), catalog.NewsPath, client, e.sources, t.Log), platform.OperatorFormat(s.ZoneNames()), t.Log).WithSuspension(suspension).
 		WithReaders(e.directory.Size, e.replica.Leads)
 	// Reads are frequent: they know that the log is slow before the first append does.
 	latency := e.replica.Latency()
@@ -131,6 +131,14 @@
 	return e
 }
 
+// sources are the entries from which this one hears operators' news: those in line to lead, unless it is one of them, or leads.
+func (e *jobEntry) sources() []string {
+	if e.directory.InLine(e.settings.Node) || e.replica.Leads() {
+		return nil
+	}
+	return e.directory.LineAddresses()
+}
+
 // run works until ctx ends, and then leaves as planned.
 func (e *jobEntry) run(ctx context.Context) error {
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -174,6 +182,7 @@
 	inner.HandlerFunc(http.MethodPost, assignment.HandoverPath, e.candidate.ServeHandover)
 	admission.NewOperators(e.replica, e.catalog).Register(inner)
 	inner.HandlerFunc(http.MethodGet, leader.WorkersPath, e.candidate.ServeWorkers)
+	inner.Handler(http.MethodGet, catalog.NewsPath, e.catalog.Source())
 	inner.Handler(http.MethodGet, "/metrics", e.telemetry.MetricsHandler)
 	handlers := map[string]http.Handler{
 		e.settings.Listen.Front:             closeWhenLeaving(platform.NewCallers(e.admission), e.leaving),
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -250,6 +250,17 @@
 	return slices.Sorted(maps.Keys(d.line))
 }
 
+// LineAddresses returns where the few are reached that are to lead next.
+func (d *Directory) LineAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
+	for _, name := range slices.Sorted(maps.Keys(d.line)) {
+		addresses = append(addresses, d.entries[name])
+	}
+	return addresses
+}
+
 // misses reports whether an entry is not listed, though the directory has been read.
 func (d *Directory) misses(name, address string) bool {
 	d.mu.Lock()
--- a/jobstore/log.go
+++ b/jobstore/log.go
@@ -37,6 +37,8 @@
 	Records []Stored
 	// End is the offset that the next record will get.
 	End int64
+	// Age is how long before the read was sent it was known that there is nothing after End; zero for a read of the log itself.
+	Age time.Duration
 	// Unreadable says which records could not be read. Where the key could be, the record is among the others with the value Garbled: that there
 	// is one must not be forgotten.
 	Unreadable []error
--- a/jobstore/tail.go
+++ b/jobstore/tail.go
@@ -183,7 +183,7 @@
 	t.next += int64(len(a.batch.Records))
 	news := News{Records: a.batch.Records, Next: t.next}
 	if t.next >= a.batch.End {
-		news.Proof = a.sent
+		news.Proof = a.sent.Add(-a.batch.Age)
 		t.proven = true
 	}
 	return news, nil
