The directory, its line and its announcements in files of their own; one counted log

Change: jobstore/line.go, jobstore/announce.go, jobtest.CountedLog; a table of who is in line. No behaviour changes.

--- a/catalog/readers_test.go
+++ b/catalog/readers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,17 +14,6 @@
 	"yarrowgrade.example/yarrowgrade/jobtest"
 )
 
-// countedLog counts reads.
-type countedLog struct {
-	jobstore.Log
-	reads atomic.Int64
-}
-
-func (l *countedLog) Read(ctx context.Context, q jobstore.Query) (jobstore.Batch, error) {
-	l.reads.Add(1)
-	return l.Log.Read(ctx, q)
-}
-
 // TestReadersOfOperatorsRecords: each of 183 entries read the operators' records twice a second, a fourth of all calls to the store, though next to nothing comes
 // there. The more entries there are the longer each waits for news, which come as soon as before, and the proof stays young enough for
 // calls with keys to be served for 3 s of an outage.
@@ -56,18 +44,18 @@
 					}
 				}
 				put(1)
-				counted := &countedLog{Log: log.Client("e")}
+				counted := &jobtest.CountedLog{Log: log.Client("e")}
 				f := catalog.NewFollower(counted, catalog.Format{ConfigKey: "config", Config: decode}, zerolog.Nop()).
 					WithReaders(func() int { return test.readers }, func() bool { return test.leads })
 				go f.Run(ctx)
 				time.Sleep(2 * time.Second)
-				before := counted.reads.Load()
+				before := counted.Reads()
 				for began := time.Now(); time.Since(began) < watched; time.Sleep(10 * time.Millisecond) {
 					if _, proof := f.Current(); time.Since(proof) > test.oldest {
 						t.Fatalf("the proof is %v old, want at most %v", time.Since(proof), test.oldest)
 					}
 				}
-				if got := counted.reads.Load() - before; got > test.most {
+				if got := counted.Reads() - before; got > test.most {
 					t.Errorf("%d reads in %v, want at most %d", got, watched, test.most)
 				}
 				put(2)
--- a/catalog/relay_test.go
+++ b/catalog/relay_test.go
@@ -21,7 +21,7 @@
 	ctx     context.Context
 	log     *jobtest.Log
 	network *standin.Network
-	reads   *countedLog
+	reads   *jobtest.CountedLog
 	told    []*catalog.Follower
 	readers []*catalog.Follower
 	sources []string
@@ -34,7 +34,7 @@
 		r := &relays{ctx: ctx, log: jobtest.NewLog(1), network: standin.NewNetwork(), sources: []string{"source-0", "source-1"}}
 		defer func() { r.network.Heal(); cancel(); time.Sleep(30 * time.Second) }()
 		r.put(t, 1)
-		r.reads = &countedLog{Log: r.log.Client("told")}
+		r.reads = &jobtest.CountedLog{Log: r.log.Client("told")}
 		format := catalog.Format{ConfigKey: "config", Config: decode}
 		follow := func(log jobstore.Log) *catalog.Follower {
 			fo := catalog.NewFollower(log, format, zerolog.Nop()).WithReaders(func() int { return n }, func() bool { return false })
@@ -80,7 +80,7 @@
 func TestNewsAreHandedOn(t *testing.T) {
 	for _, n := range []int{20, 40} {
 		withRelays(t, n, func(t *testing.T, r *relays) {
-			before := r.reads.reads.Load()
+			before := r.reads.Reads()
 			for version := 2; version < 7; version++ {
 				r.put(t, version)
 				time.Sleep(10 * time.Millisecond)
@@ -96,7 +96,7 @@
 					}
 				}
 			}
-			if got := r.reads.reads.Load() - before; got != 0 {
+			if got := r.reads.Reads() - before; got != 0 {
 				t.Errorf("%d reads of the log by %d that are told, want none", got, n)
 			}
 		})
--- a/jobstore/chase_test.go
+++ b/jobstore/chase_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,21 +12,15 @@
 	"yarrowgrade.example/yarrowgrade/jobtest"
 )
 
-// busyLog takes a while to bring records, and none to say that there is nothing. It counts reads.
+// busyLog takes a while to bring records, and none to say that there is nothing.
 type busyLog struct {
-	jobstore.Log
-	takes        time.Duration
-	whole, brief atomic.Int64
+	*jobtest.CountedLog
+	takes time.Duration
 }
 
 func (l *busyLog) Read(ctx context.Context, q jobstore.Query) (jobstore.Batch, error) {
-	if q.Brief {
-		l.brief.Add(1)
-		return l.Log.Read(ctx, q)
-	}
-	l.whole.Add(1)
-	batch, err := l.Log.Read(ctx, q)
-	if len(batch.Records) > 0 {
+	batch, err := l.CountedLog.Read(ctx, q)
+	if !q.Brief && len(batch.Records) > 0 {
 		time.Sleep(l.takes)
 	}
 	return batch, err
@@ -40,7 +33,7 @@
 	for _, takes := range []time.Duration{400 * time.Millisecond, 800 * time.Millisecond} {
 		bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
 			add(t, log, submission(t, one, "first"))
-			busy := &busyLog{Log: log.Client("entry")}
+			busy := &busyLog{CountedLog: &jobtest.CountedLog{Log: log.Client("entry")}}
 			r := jobstore.NewReplica(busy, func() int { return 183 }, zerolog.Nop())
 			go r.Run(ctx)
 			time.Sleep(2 * time.Second)
@@ -50,13 +43,13 @@
 				time.Sleep(100 * time.Millisecond)
 			}
 			busy.takes = takes
-			whole, brief := busy.whole.Load(), busy.brief.Load()
+			whole, brief := busy.Whole.Load(), busy.Brief.Load()
 			log.Heal()
 			time.Sleep(time.Second + takes)
-			if got := busy.whole.Load() - whole; got > 4 {
+			if got := busy.Whole.Load() - whole; got > 4 {
 				t.Errorf("%d reads of all that was missed, where one takes %v, want one and those that follow", got, takes)
 			}
-			if got := busy.brief.Load() - brief; got > 6 {
+			if got := busy.Brief.Load() - brief; got > 6 {
 				t.Errorf("%d reads that find out whether the log answers, in %v, want at most 6", got, time.Second+takes)
 			}
 			if age := time.Since(r.Proof()); age > time.Second {
@@ -81,15 +74,15 @@
 	for _, test := range tests {
 		bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
 			add(t, log, submission(t, one, "first"))
-			counted := &countedLog{Log: log.Client("entry")}
+			counted := &jobtest.CountedLog{Log: log.Client("entry")}
 			r := jobstore.NewReplica(counted, func() int { return test.readers }, zerolog.Nop())
 			go r.Run(ctx)
 			time.Sleep(2 * time.Second)
 			log.SetFault("entry", jobtest.Fault{Refuse: true})
 			time.Sleep(time.Second)
-			before := counted.reads.Load()
+			before := counted.Reads()
 			time.Sleep(5 * time.Second)
-			if got := counted.reads.Load() - before; got > test.most {
+			if got := counted.Reads() - before; got > test.most {
 				t.Errorf("one of %d entries read %d times in 5 s of a log that was away, want at most %d", test.readers, got, test.most)
 			}
 			log.Heal()
--- a/jobstore/directory.go
+++ b/jobstore/directory.go
@@ -1,11 +1,8 @@
 package jobstore
 
 import (
-	"cmp"
 	"context"
-	"errors"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,10 +10,7 @@
 	"time"
 	"unicode"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
-
-	"yarrowgrade.example/yarrowgrade/pause"
 )
 
 // Prefixes of the keys under which entries say where they are reached, and how much processor time they have, in cores. Readers of an
@@ -127,70 +121,24 @@
 func (d *Directory) Larger(cores float64) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var addresses []string
-	for _, name := range slices.Sorted(maps.Keys(d.entries)) {
-		if d.processors[name] >= muchLarger*cores && cores > 0 {
-			addresses = append(addresses, d.entries[name])
-		}
-	}
-	return addresses
-}
-
-// Able returns the addresses of the entries to which none is much larger, in the order of their names: those that should lead.
-func (d *Directory) Able() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var addresses []string
-	for _, name := range d.able() {
-		addresses = append(addresses, d.entries[name])
-	}
-	return addresses
+	return d.addressesOf(d.names(func(name string) bool { return d.processors[name] >= muchLarger*cores && cores > 0 }))
 }
 
-// able returns the names of the entries to which none is much larger, in order. The lock must be held.
-func (d *Directory) able() []string {
-	most := 0.0
-	for name := range d.entries {
-		most = max(most, d.processors[name])
-	}
-	var names []string
-	for _, name := range slices.Sorted(maps.Keys(d.entries)) {
-		if d.processors[name]*muchLarger > most || most == 0 {
-			names = append(names, name)
-		}
-	}
+// names returns the names of those entries for which keep holds, in order. The lock must be held.
+func (d *Directory) names(keep func(name string) bool) []string {
+	names := slices.Collect(maps.Keys(d.entries))
+	names = slices.DeleteFunc(names, func(name string) bool { return !keep(name) })
+	slices.Sort(names)
 	return names
 }
 
-// lineLength is how many entries watch the leader closely and claim its place as soon as it is gone. The others read less often and wait longer, so that neither
-// reads nor claims grow with the entries. Where a third of the entries are away, all in line are once in 250 times.
-const lineLength = 5
-
-// drawLine draws those that are to lead next from the entries that should lead, in an order that has nothing to do with where they are. The
-// lock must be held.
-func (d *Directory) drawLine() {
-	names := d.able()
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	d.line = map[string]bool{}
-	for _, name := range names[:min(lineLength, len(names))] {
-		d.line[name] = true
+// addressesOf returns where entries are reached. The lock must be held.
+func (d *Directory) addressesOf(names []string) []string {
+	addresses := make([]string, len(names))
+	for i, name := range names {
+		addresses[i] = d.entries[name]
 	}
-}
-
-// InLine reports whether an entry is one of the few that are to lead next. Nobody is as long as nothing has been read.
-func (d *Directory) InLine(name string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.line[name]
-}
-
-// Draw returns n of the addresses, others each time, or all of them if there are no more. Whoever asks entries for something that any of them can
-// say asks a few: if each of 800 agents asks each of 183 entries at once, as when their leader is lost, 160,000 connections come of it, and an entry with 0.2 cores
-// serves nobody for seconds.
-func Draw(addresses []string, n int) []string {
-	drawn := slices.Clone(addresses)
-	rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
-	return drawn[:min(n, len(drawn))]
+	return addresses
 }
 
 // Learn takes over who is the leader from another source.
@@ -222,11 +170,7 @@
 func (d *Directory) Entries() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var addresses []string
-	for _, name := range slices.Sorted(maps.Keys(d.entries)) {
-		addresses = append(addresses, d.entries[name])
-	}
-	return addresses
+	return d.addressesOf(d.names(func(string) bool { return true }))
 }
 
 // Size is how many entries are known.
@@ -242,91 +186,3 @@
 	defer d.mu.Unlock()
 	return maps.Clone(d.entries)
 }
-
-// Line returns the names of the few that are to lead next, in order.
-func (d *Directory) Line() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return slices.Sorted(maps.Keys(d.line))
-}
-
-// LineAddresses returns where the few are reached that are to lead next.
-func (d *Directory) LineAddresses() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var addresses []string
-	for _, name := range slices.Sorted(maps.Keys(d.line)) {
-		addresses = append(addresses, d.entries[name])
-	}
-	return addresses
-}
-
-// misses reports whether an entry is not listed, though the directory has been read.
-func (d *Directory) misses(name, address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.read && d.entries[name] != address
-}
-
-// KeepAnnounced says where an entry is reached and how much processor time it has, as AnnounceEntry does, and again when that is no longer listed: the leader
-// takes entries off that it does not reach, and this one may only have been cut off.
-func (d *Directory) KeepAnnounced(ctx context.Context, log Log, name, address string, cores float64) {
-	for ctx.Err() == nil {
-		AnnounceEntry(ctx, log, name, address, cores)
-		// What was read before the announcement says nothing.
-		pause.For(ctx, announceAgain)
-		for changed := d.Changed(); ctx.Err() == nil && !d.misses(name, address); changed = d.Changed() {
-			select {
-			case <-changed:
-			case <-ctx.Done():
-			}
-		}
-	}
-}
-
-// announceAgain is the least time between two announcements of an entry.
-const announceAgain = 5 * time.Second
-
-// RemoveEntries takes entries off the directory.
-func RemoveEntries(ctx context.Context, log Log, names []string) error {
-	var records []Record
-	for _, name := range names {
-		records = append(records, Record{Key: entryPrefix + name}, Record{Key: processorPrefix + name})
-	}
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	_, err := log.Append(ctx, records, Condition{})
-	return err
-}
-
-// AnnounceEntry says where an entry is reached and how much processor time it has, in cores, and tries until that is kept. Zero cores
-// are not told.
-func AnnounceEntry(ctx context.Context, log Log, name, address string, cores float64) {
-	records := []Record{{Key: entryPrefix + name, Value: []byte(address)}}
-	if cores > 0 {
-		records = append(records, Record{Key: processorPrefix + name, Value: strconv.AppendFloat(nil, cores, 'g', -1, 64)})
-	}
-	announce(ctx, log, records, Condition{})
-}
-
-// AnnounceLeader says who is the leader, and tries until that is kept or a later term has been announced.
-func AnnounceLeader(ctx context.Context, log Log, o Leader) {
-	record, err := LeaderRecord(o)
-	if err == nil {
-		announce(ctx, log, []Record{record}, Condition{Producer: TermOf(o.Term, 0)})
-	}
-}
-
-func announce(ctx context.Context, log Log, records []Record, c Condition) {
-	for ctx.Err() == nil {
-		attempt, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := log.Append(attempt, records, c)
-		cancel()
-		if err == nil || errors.Is(err, ErrFenced) {
-			return
-		}
-		pause.For(ctx, retryPause)
-	}
-}
-
-const announceTimeout = time.Second
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,17 +59,6 @@
 // alone is how many entries there are for a replica that reads each record as it comes.
 func alone() int { return 0 }
 
-// countedLog counts reads.
-type countedLog struct {
-	jobstore.Log
-	reads atomic.Int64
-}
-
-func (l *countedLog) Read(ctx context.Context, q jobstore.Query) (jobstore.Batch, error) {
-	l.reads.Add(1)
-	return l.Log.Read(ctx, q)
-}
-
 // TestReadersShare: where many entries read the topic, one read brings many records, and a question for a job's state reads anew. The
 // leader reads each record as it comes, however many entries there are.
 func TestReadersShare(t *testing.T) {
@@ -94,18 +82,18 @@
 		t.Run(test.name, func(t *testing.T) {
 			bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
 				add(t, log, submission(t, one, "first"))
-				counted := &countedLog{Log: log.Client("entry")}
+				counted := &jobtest.CountedLog{Log: log.Client("entry")}
 				r := jobstore.NewReplica(counted, func() int { return test.readers }, zerolog.Nop()).
 					WithLine(func() bool { return !test.behind })
 				r.Lead(test.leads)
 				go r.Run(ctx)
 				time.Sleep(time.Second)
-				before := counted.reads.Load()
+				before := counted.Reads()
 				for range records {
 					add(t, log, progress(t, one, job.Running))
 					time.Sleep(every)
 				}
-				if got := counted.reads.Load() - before; got < test.least || got > test.most {
+				if got := counted.Reads() - before; got < test.least || got > test.most {
 					t.Errorf("%d reads for %d records, want %d to %d", got, records, test.least, test.most)
 				}
 				add(t, log, progress(t, one, job.Completed))
--- /dev/null
+++ b/jobstore/line_test.go
@@ -0,0 +1,60 @@
+package jobstore_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"yarrowgrade.example/yarrowgrade/jobstore"
+	"yarrowgrade.example/yarrowgrade/jobtest"
+)
+
+// TestLine: those in line to lead are five at the most, whatever the number of entries, all of them large ones where some are, and not all of one zone.
+func TestLine(t *testing.T) {
+	tests := []struct {
+		name         string
+		entries      int
+		cores        func(i int) float64
+		able, inLine int
+	}{
+		{"three", 3, func(int) float64 { return 0.4 }, 3, 3},
+		{"forty alike", 40, func(int) float64 { return 0.4 }, 40, 5},
+		{"eighty alike", 80, func(int) float64 { return 0.4 }, 80, 5},
+		{"two large ones", 40, func(i int) float64 { return 0.2 + 0.8*float64(max(2-i, 0)) }, 2, 2},
+		{"none says how large it is", 40, func(int) float64 { return 0 }, 40, 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
+				d := jobstore.NewDirectory(log.Client("e"), zerolog.Nop())
+				name := func(i int) string { return fmt.Sprintf("front-zone-%d-%d", i%4, i) }
+				if d.InLine(name(0)) {
+					t.Error("an entry is in line before anything was read")
+				}
+				for i := range test.entries {
+					jobstore.AnnounceEntry(ctx, log.Client("e"), name(i), fmt.Sprintf("10.0.0.%d:7000", i), test.cores(i))
+				}
+				go d.Run(ctx)
+				time.Sleep(time.Second)
+				able, line := d.Able(), d.Line()
+				if len(able) != test.able || len(line) != test.inLine {
+					t.Fatalf("%d should lead and %v are in line, want %d and %d", len(able), line, test.able, test.inLine)
+				}
+				zones := map[byte]bool{}
+				for i, address := range d.LineAddresses() {
+					zones[line[i][len("front-zone-")]] = true
+					if !d.InLine(line[i]) || !slices.Contains(able, address) {
+						t.Errorf("%s at %s is in line and should not lead", line[i], address)
+					}
+				}
+				if test.inLine == 5 && len(zones) == 1 {
+					t.Errorf("all in line are in one zone: %v", line)
+				}
+			})
+		})
+	}
+}
