--- a/catalog/relay_test.go
+++ b/catalog/relay_test.go
@@ -75,7 +75,7 @@
 	return oldest
 }
 
-// TestNewsAreHandedOn: each of 183 entries read each configuration from the store, and twice a second whether there was one: 366 calls a second, and 60 KB for each
+// TestNewsAreHandedOn: each of 183 entries read each configuration from the store, and twice a second whether there was one: 366 calls a second, and all of it for each
 // entry and change. A few read it, the others hear it from them as soon, and their proof stays as young as that of a reader.
 func TestNewsAreHandedOn(t *testing.T) {
 	for _, n := range []int{20, 40} {
--- a/dispatch/wants.go
+++ b/dispatch/wants.go
@@ -27,7 +27,7 @@
 }
 
 // wants keeps what each worker should run from one decision to the next, by worker and by job, so that telling it costs what has changed and
-// not what there is: made anew for 800 workers at each decision it was a fifth of the decision's time, and each worker's agent was woken for it.
+// not what there is: a job of two tasks is told to two workers, with as many allocations at 80 workers as at 160, where it was told to all.
 type wants struct {
 	// on holds, by worker, the jobs that have runs there, and those runs.
 	on map[string]map[job.ID]runsOf
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -240,8 +240,8 @@
 }
 
 // Rest of the leading goroutine between two rounds. A round looks at all workers and at all work, and news come with both, so rounds without rest would
-// take up a processor once the fleet is large enough, and polls would wait for it. With rest they take a third of one, and what the rest costs is
-// time until a start that grows with the fleet and not with its square: half of it, 6 ms where a round takes 6.
+// take up a processor once the fleet is large enough, and polls would wait for it: an entry with 0.4 cores that led 270 workers never came to rest on a calm day.
+// With rest rounds take a third of a processor at the most, and a start waits for twice the time of a round at the most.
 const (
 	// restShare is how long it rests after a round, in times that the round took; mostRest bounds it, and under leastRest there is none.
 	restShare = 2
