What a read that hangs should have brought is read anew at once

A probe showed the leader that there was more to read, but the hung read counted as one that brings it for 1.3 s, and probes of the leader were as rare as those of all 183 entries together.

Change: the first try never counts as one that brings what a probe has shown; the second does.

Counted (test, red before): a job known to the leader more than 0.5 s after it was kept, with 3 and with 183 readers -> within 0.5 s.

--- a/jobstore/chase.go
+++ b/jobstore/chase.go
@@ -11,15 +11,16 @@
 var errBehind = errors.New("there is more to read")
 
 // chase is one read of a topic in as many tries as it takes. The first try waits for news and brings them. The later ones find out whether the log answers: if it
-// does and there is nothing to read, that is an answer too; if there is, it is read, unless a read that brings it is under way and has not
-// taken too long. So a log that has much to send is not asked for the same again and again.
+// does and there is nothing to read, that is an answer too; if there is, the first try hangs, and it is read anew. It is read once more only if that has taken too
+// long. So a log that has much to send is not asked for the same again and again.
 type chase struct {
 	log  Log
 	next int64
 	wait time.Duration
 
 	mu sync.Mutex
-	// whole is how many reads are under way that bring all there is, late from when on another one begins beside them, and patience how long that was.
+	// whole is how many reads are under way that bring all there is, beside the first try; late is from when on another one begins beside them, and patience how
+	// long that was.
 	whole    int
 	late     time.Time
 	patience time.Duration
@@ -32,21 +33,21 @@
 // read makes one try.
 func (c *chase) read(ctx context.Context, try int) (Batch, error) {
 	if try == 0 {
-		c.begin(time.Now(), c.wait)
-		return c.readWhole(ctx, c.wait)
+		return c.log.Read(ctx, Query{From: c.next, Wait: c.wait})
 	}
 	batch, err := c.log.Read(ctx, Query{From: c.next, Brief: true})
 	switch {
 	case err != nil, batch.End <= c.next:
 		return batch, err
-	case !c.begin(time.Now(), 0):
+	case !c.begin(time.Now()):
 		return batch, errBehind
 	}
-	return c.readWhole(ctx, 0)
+	defer c.end()
+	return c.log.Read(ctx, Query{From: c.next})
 }
 
-// begin reports whether a read that brings all there is, and waits that long for it, should begin, and counts it.
-func (c *chase) begin(now time.Time, wait time.Duration) bool {
+// begin reports whether a read that brings all there is should begin, and counts it.
+func (c *chase) begin(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.whole > 0 && now.Before(c.late) {
@@ -54,15 +55,13 @@
 	}
 	c.whole++
 	c.patience = max(wholePatience, 2*c.patience)
-	c.late = now.Add(wait + c.patience)
+	c.late = now.Add(c.patience)
 	return true
 }
 
-func (c *chase) readWhole(ctx context.Context, wait time.Duration) (Batch, error) {
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.whole--
-	}()
-	return c.log.Read(ctx, Query{From: c.next, Wait: wait})
+// end counts a read that has ended.
+func (c *chase) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.whole--
 }
--- a/jobstore/chase_test.go
+++ b/jobstore/chase_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,31 @@
 		})
 	}
 }
+
+// TestNewsWhileReadsHang: while a store drops its history, reads that wait for news hang. A leader learnt of a job only when its hung read had taken too long to be
+// waited for, 1.3 s later, and three urgent jobs of the fleet's second rough day were late. What a read that hangs should have brought is read anew as soon as it
+// is known to be there: the read waits 0.3 s, an answer takes 0.15 s at the most.
+func TestNewsWhileReadsHang(t *testing.T) {
+	for _, readers := range []int{3, 183} {
+		bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
+			add(t, log, submission(t, one, "first"))
+			r := jobstore.NewReplica(log.Client("entry"), func() int { return readers }, zerolog.Nop())
+			r.Lead(true)
+			go r.Run(ctx)
+			time.Sleep(time.Second)
+			log.SetFault("entry", jobtest.Fault{Deaf: true})
+			for i := range 20 {
+				id := job.ID(fmt.Sprintf("%016x", 100+i))
+				add(t, log, submission(t, id, "next"))
+				added := time.Now()
+				for _, known := r.Phase(id); !known; _, known = r.Phase(id) {
+					if time.Since(added) > 500*time.Millisecond {
+						t.Fatalf("with %d readers a job is not known %v after it was kept", readers, time.Since(added))
+					}
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(137 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/jobstore/replica.go
+++ b/jobstore/replica.go
@@ -75,7 +75,7 @@
 		tail: NewTail(log, "jobs", replicaWait, logger), readers: readers, inLine: func() bool { return true },
 		jobs: map[job.ID]*entry{}, fresh: map[job.ID]bool{}, changed: make(chan struct{}), news: make(chan struct{}), taken: make(chan struct{}),
 	}
-	r.tail.WithGap(r.gap).WithReaders(readers)
+	r.tail.WithGap(r.gap).WithReaders(r.probing)
 	return r
 }
 
@@ -104,6 +104,14 @@
 	return min(time.Duration(r.readers())*readShare, most)
 }
 
+// probing is how many processes share the probes of a log that is away. The leader does not share: whatever starts waits for it.
+func (r *Replica) probing() int {
+	if r.leading.Load() {
+		return 1
+	}
+	return r.readers()
+}
+
 // Lead says whether this process needs each record as it comes, as the leader does.
 func (r *Replica) Lead(leading bool) {
 	r.leading.Store(leading)
