The leader's probes of a log that is away are tested too

The mutation that makes the leader share the probes with all entries was not caught by the test of hung reads; a row of TestAwayLogIsProbed catches it.

--- a/jobstore/chase_test.go
+++ b/jobstore/chase_test.go
@@ -61,22 +61,25 @@
 }
 
 // TestAwayLogIsProbed: while the store was away each of 983 processes read it every 80 ms, 12,000 times a second in all. All together probe it some 500 times a second,
-// however many they are, and few find out at once that it is back.
+// however many they are; the leader, which everything waits for, does so as before.
 func TestAwayLogIsProbed(t *testing.T) {
 	tests := []struct {
 		readers int
+		leads   bool
 		most    int64
 		back    time.Duration
 	}{
-		{3, 65, 100 * time.Millisecond},
-		{183, 15, 400 * time.Millisecond},
-		{366, 8, 800 * time.Millisecond},
+		{3, false, 65, 100 * time.Millisecond},
+		{183, false, 15, 400 * time.Millisecond},
+		{366, false, 8, 800 * time.Millisecond},
+		{366, true, 65, 100 * time.Millisecond},
 	}
 	for _, test := range tests {
 		bubble(t, func(t *testing.T, ctx context.Context, log *jobtest.Log) {
 			add(t, log, submission(t, one, "first"))
 			counted := &jobtest.CountedLog{Log: log.Client("entry")}
 			r := jobstore.NewReplica(counted, func() int { return test.readers }, zerolog.Nop())
+			r.Lead(test.leads)
 			go r.Run(ctx)
 			time.Sleep(2 * time.Second)
 			log.SetFault("entry", jobtest.Fault{Refuse: true})
