jobtest: workers log what agents can't see

When TestSystemOfManyStarts says TWICE, the agents' and the leaders' lines don't tell whether the run that is there already came by an order that was carried out late, and by which incarnation: the two hypotheses (an order that came late at a later incarnation; a run that is given up too soon) give the same lines. With -v, the workers now log each new incarnation, each run that starts, each order that is carried out late with what became of it, and ends that such an order makes them forget. No check changes.

--- a/jobs/jobtest/orders.go
+++ b/jobs/jobtest/orders.go
@@ -28,7 +28,7 @@
 			defer w.all.mu.Unlock()
 			if w.up {
 				w.late = true
-				_ = w.carryOut(o, carry)
+				w.logLate(o, w.carryOut(o, carry))
 				w.late = false
 			}
 		})
@@ -55,6 +55,20 @@
 	return carry()
 }
 
+// logLate logs what became of an order that came late. The lock must be held.
+func (w *Worker) logLate(o runner.Order, err error) {
+	w.all.Logger.Info().Str("step", "jobtest.late").Str("worker", w.name).
+		Stringer("sent_to", o.Incarnation).Stringer("incarnation", w.state.ID).
+		Int64("fence", o.Fence).Err(err).Msg("order is carried out late")
+}
+
+// logStart logs a run that starts. The lock must be held.
+func (w *Worker) logStart(s assignment.Start) {
+	w.all.Logger.Info().Str("step", "jobtest.start").Str("worker", w.name).
+		Stringer("task", s.Task).Int("run", s.Run).Stringer("incarnation", w.state.ID).
+		Bool("late", w.late).Bool("stray", w.stray).Int64("fence", w.fence).Msg("run starts")
+}
+
 // extend extends the lease to a time of the worker's clock, in milliseconds.
 func (w *Worker) extend(until int64) {
 	w.leaseEnd = max(w.leaseEnd, min(until, w.clock(time.Now())+maxLease.Milliseconds()))
@@ -83,6 +97,7 @@
 	if !w.overcommits && !step.Reserved().FitsIn(w.free()) {
 		return runner.ErrNoCapacity
 	}
+	w.logStart(s)
 	w.all.checkStart(w, s)
 	w.all.checkCapacity(w, s, step.Reserved())
 	r := &run{
@@ -185,6 +200,10 @@
 
 // forget drops the ends that the leader has stored.
 func (w *Worker) forget(seen int64) {
+	if w.late && seen > 0 {
+		w.all.Logger.Info().Str("step", "jobtest.forget").Str("worker", w.name).Int64("up_to", seen).
+			Int("ends", len(w.ends)).Msg("ends are forgotten late")
+	}
 	var rest []assignment.End
 	for _, e := range w.ends {
 		if e.Number > seen {
--- a/jobs/jobtest/rig_test.go
+++ b/jobs/jobtest/rig_test.go
@@ -123,6 +123,7 @@
 	if sh.logger != nil {
 		s.logger = *sh.logger
 	}
+	s.workers.Logger = s.logger
 	s.workers.FailureShare = 0.03
 	s.workers.SameIDShare, s.workers.NoStartTimes = sh.sameID, sh.unborn
 	record := []topic.Record{{Key: "config", Value: []byte("1")}}
--- a/jobs/jobtest/worker.go
+++ b/jobs/jobtest/worker.go
@@ -73,6 +73,8 @@
 	w.fence, w.leaseEnd, w.leaseOverAt = 0, 0, time.Time{}
 	w.runs, w.highestRun = map[job.TaskName]*run{}, map[job.TaskName]int{}
 	w.ends, w.lastEnd, w.endedAt = nil, 0, map[int64]time.Time{}
+	w.all.Logger.Info().Str("step", "jobtest.start").Str("worker", w.name).Stringer("incarnation", w.state.ID).
+		Msg("incarnation starts")
 }
 
 // nextID returns the ID of the next incarnation. The lock must be held.
--- a/jobs/jobtest/workers.go
+++ b/jobs/jobtest/workers.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
 	"yarrowgrade.example/yarrowgrade/jobs/job"
 )
@@ -25,6 +27,8 @@
 	NoStartTimes bool
 	// Work is how long each task works. Zero draws a time from the task's name.
 	Work time.Duration
+	// Logger gets what the agents can't see: new incarnations, and orders that come late.
+	Logger zerolog.Logger
 	// Violations lists the rules that were broken, and Starts counts the runs that were started.
 	Violations []string
 	Starts     int
@@ -58,6 +62,7 @@
 // NewWorkers returns an empty set of workers. The seed draws failures and the IDs of incarnations.
 func NewWorkers(seed uint64) *Workers {
 	return &Workers{
+		Logger:      zerolog.Nop(),
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		started:     time.Now(),
 		jobs:        map[job.ID]*job.Job{},
