A killed agent's late poll no longer shuts its successor out

Cause: the leader took the agent that it heard first last for the newest one. The last poll of a killed agent, held up by a cut link, arrived after its successor's first poll; the successor was taken for a former agent, and its polls were rejected until the leader changed.

Change: polls carry the highest fence that the agent has heard (fence); one that knows a fence is heard once it shows the one that the leader offered it. A former agent is heard again after the present one was silent for 1.5 s, which covers agents that don't send the field. Why this works: a poll from before can't show a fence that was given out after it was sent.

New line: leader.session.

--- a/jobs/assignment/golden_test.go
+++ b/jobs/assignment/golden_test.go
@@ -17,6 +17,7 @@
 		Agent:    "agent-1",
 		Sequence: 7,
 		Term:     4,
+		Fence:    4194309,
 		State: &WorkerState{
 			ID:          goldenLife,
 			Machine:     "m-1",
--- a/jobs/assignment/poll.go
+++ b/jobs/assignment/poll.go
@@ -13,6 +13,8 @@
 	Sequence int64 `json:"seq"`
 	// Term is the highest that the agent knows.
 	Term int64 `json:"term"`
+	// Fence is the highest that the agent has heard from a leader; zero if it has just started.
+	Fence int64 `json:"fence,omitempty"`
 	// State is the worker's; nil while no incarnation is known.
 	State *WorkerState `json:"life,omitempty"`
 	// Complete is set if Runs and Ends are what the worker listed under the newest fence.
--- a/jobs/leader/candidate.go
+++ b/jobs/leader/candidate.go
@@ -34,7 +34,7 @@
 		settings: s,
 		deps:     d,
 		metrics:  m,
-		fleet:    newFleet(s.Timing, d.Suspension, d.Catalog.Cordons, m.pollAnswers),
+		fleet:    newFleet(s.Timing, d.Suspension, d.Catalog.Cordons, m.pollAnswers, d.Logger),
 		resign:   make(chan struct{}),
 	}
 }
--- a/jobs/leader/fleet.go
+++ b/jobs/leader/fleet.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"yarrowgrade.example/yarrowgrade/internal/suspend"
@@ -23,6 +24,7 @@
 	clock  suspend.Clock
 	// cordons returns the cordoned zones, and when it was known that there are no others.
 	cordons func() (catalog.Cordons, time.Time)
+	logger  zerolog.Logger
 	// answers counts answers, also those not sent because the poll was held on.
 	answers tally.Counter
 	// decisionDue has a value when a poll needs a decision.
@@ -46,12 +48,14 @@
 
 func newFleet(
 	timing Timing, clock suspend.Clock, cordons func() (catalog.Cordons, time.Time), answers tally.Counter,
+	logger zerolog.Logger,
 ) *fleet {
 	return &fleet{
 		timing:      timing,
 		clock:       clock,
 		cordons:     cordons,
 		answers:     answers,
+		logger:      logger,
 		decisionDue: make(chan struct{}, 1),
 	}
 }
--- a/jobs/leader/fleet_test.go
+++ b/jobs/leader/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"yarrowgrade.example/yarrowgrade/internal/suspend"
@@ -55,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		answers := &counter{}
 		open := func() (catalog.Cordons, time.Time) { return nil, time.Now() }
-		fl := newFleet(DefaultTiming(6*time.Second), suspend.Clock(nil), open, answers)
+		fl := newFleet(DefaultTiming(6*time.Second), suspend.Clock(nil), open, answers, zerolog.Nop())
 		fl.open(3)
 		fl.prove(fl.clock.Now())
 		all := map[string]dispatch.DesiredState{}
@@ -110,7 +111,7 @@
 		env := &environment{syncedAt: time.Now()}
 		clock := suspend.Clock(func() time.Duration { return env.suspended })
 		inForce := func() (catalog.Cordons, time.Time) { return env.cordons, env.syncedAt }
-		fl := newFleet(DefaultTiming(6*time.Second), clock, inForce, tally.NoopScope.Counter("answers"))
+		fl := newFleet(DefaultTiming(6*time.Second), clock, inForce, tally.NoopScope.Counter("answers"), zerolog.Nop())
 		fl.open(3)
 		fl.prove(fl.clock.Now())
 		f(t, fl, env)
--- a/jobs/leader/golden_test.go
+++ b/jobs/leader/golden_test.go
@@ -54,6 +54,7 @@
 		Agent:    "agent-1/7",
 		Sequence: 12,
 		Term:     3,
+		Fence:    3145729,
 		State:    goldenPresent(),
 		Complete: true,
 		Runs:     []assignment.Run{{RunID: goldenRun, Percent: 40, AgeMillis: 1500, ListedMillis: 1400}},
@@ -191,6 +192,8 @@
 	withCandidate(t, func(t *testing.T, c *Candidate, env *environment, _ *bytes.Buffer) {
 		described := goldenPoll()
 		described.Delta, described.Unresponsive, described.Wait = nil, false, false
+		// As the version before sends it; with a fence it would be answered with the session's first.
+		described.Fence = 0
 		body, err := json.Marshal(described)
 		if err != nil {
 			t.Fatal(err)
@@ -255,7 +258,7 @@
 	withCandidate(t, func(t *testing.T, c *Candidate, env *environment, _ *bytes.Buffer) {
 		goldentest.Bytes(t, "served-workers-none.txt", served(c.ServeWorkers, http.MethodGet, WorkersPath, ""))
 		described := goldenPoll()
-		described.Delta = nil
+		described.Delta, described.Fence = nil, 0
 		ask(t, c.fleet, described)
 		next := *described.State
 		next.ID.StartMillis++
--- a/jobs/leader/poll.go
+++ b/jobs/leader/poll.go
@@ -13,6 +13,7 @@
 var (
 	errNotLeading  = errors.New("this entry does not lead in the agent's term")
 	errFormerAgent = errors.New("a newer incarnation of the agent has polled")
+	errOldFence    = errors.New("the agent has not heard the fence of its session")
 	errUnknownBase = errors.New("the poll is a delta to one that is unknown here")
 )
 
@@ -36,6 +37,8 @@
 	switch {
 	case errors.Is(err, errUnknownBase):
 		return f.requestFull(poll)
+	case errors.Is(err, errOldFence):
+		return f.offerFence(poll)
 	case err != nil:
 		return assignment.Answer{}, false
 	}
@@ -67,11 +70,8 @@
 	}
 	f.lastPoll = time.Now()
 	w := f.workerOf(poll.Worker)
-	if w.agent.former[poll.Agent] {
-		return poll, errFormerAgent
-	}
-	if w.agent.incarnation != poll.Agent {
-		f.beginSession(w, poll.Agent)
+	if err := f.checkSession(w, poll); err != nil {
+		return poll, err
 	}
 	isFull := poll.Delta == nil
 	if !isFull {
@@ -93,14 +93,63 @@
 	return poll, nil
 }
 
+// checkSession returns an error unless a poll is of the present incarnation of its agent. It turns
+// to another incarnation once that has shown the fence that it was offered: a poll of one that
+// was killed may arrive long after its successor's, and describes the worker as it was. An
+// incarnation that knows no fence yet has just started. f.mu must be held.
+func (f *fleet) checkSession(w *worker, poll assignment.Poll) error {
+	session := &w.agent
+	if session.rejects(poll, f.lastPoll, f.timing.AgentTimeout) {
+		return errFormerAgent
+	}
+	if session.incarnation != poll.Agent {
+		switch {
+		case poll.Fence == 0:
+			f.beginSession(w, poll, f.nextFence())
+		case session.offered.incarnation == poll.Agent && session.offered.fence == poll.Fence:
+			f.beginSession(w, poll, poll.Fence)
+		}
+	}
+	if session.incarnation != poll.Agent {
+		return errOldFence
+	}
+	session.heardAt = f.lastPoll
+	return nil
+}
+
 // beginSession turns to another incarnation of a worker's agent. f.mu must be held.
-func (f *fleet) beginSession(w *worker, agent string) {
-	f.fences++
-	w.agent.replace(agent, f.term<<fenceBits+f.fences)
+func (f *fleet) beginSession(w *worker, poll assignment.Poll, fence int64) {
+	f.logger.Info().Str("step", "leader.session").Str("worker", poll.Worker).Str("agent", poll.Agent).
+		Str("before", w.agent.incarnation).Int64("fence", fence).Msg("agent is heard")
+	w.agent.replace(poll.Agent, fence)
 	w.reports = reports{}
 	w.wake()
 }
 
+// nextFence returns a fence above all others of this and earlier terms. f.mu must be held.
+func (f *fleet) nextFence() int64 {
+	f.fences++
+	return f.term<<fenceBits + f.fences
+}
+
+// offerFence answers a poll that was made before its agent had heard the fence of its session,
+// without lease and orders.
+func (f *fleet) offerFence(poll assignment.Poll) (assignment.Answer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.term == 0 {
+		return assignment.Answer{}, false
+	}
+	w := f.workerOf(poll.Worker)
+	if w.agent.incarnation == poll.Agent {
+		return f.acknowledge(w), true
+	}
+	if w.agent.offered.incarnation != poll.Agent {
+		w.agent.offered = offeredFence{incarnation: poll.Agent, fence: f.nextFence()}
+	}
+	return assignment.Answer{Term: f.term, Fence: w.agent.offered.fence}, true
+}
+
 func (f *fleet) requestDecision() {
 	select {
 	case f.decisionDue <- struct{}{}:
--- a/jobs/leader/poll_test.go
+++ b/jobs/leader/poll_test.go
@@ -113,6 +113,72 @@
 	})
 }
 
+// TestLatePollOfFormerAgent: a poll of an agent's killed process that arrives after its successor's
+// changes nothing, and the successor is heard on.
+//
+// The successor's polls were rejected for the rest of the term, so its worker got neither leases
+// nor runs, and accepted jobs stayed queued.
+func TestLatePollOfFormerAgent(t *testing.T) {
+	former := assignment.WorkerState{ID: incarnation.ID{Instance: "life-0", StartMillis: 1}, Service: "roster"}
+	late := assignment.Poll{Worker: "w", Agent: "a", Sequence: 40, Term: 2, Fence: 2<<fenceBits + 7, State: &former, Complete: true}
+	t.Run("the process tells its fence", func(t *testing.T) {
+		withLeases(t, func(t *testing.T, fl *fleet, _ *environment) {
+			p := poll(1)
+			p.Agent, p.Complete = "b", false
+			p.Fence = ask(t, fl, p).Fence
+			for range 2 {
+				fl.serve(t.Context(), late)
+			}
+			p.Sequence, p.Complete = 2, true
+			if a := ask(t, fl, p); a.Fence != p.Fence || a.LeaseMillis == 0 {
+				t.Errorf("after the late poll its successor gets fence %d and a lease of %d ms, want %d and a lease",
+					a.Fence, a.LeaseMillis, p.Fence)
+			}
+			if taken := fl.take()["w"].poll; taken.Agent != "b" {
+				t.Errorf("the poll of %q was taken", taken.Agent)
+			}
+		})
+	})
+	t.Run("the process is of an earlier version", func(t *testing.T) {
+		withLeases(t, func(t *testing.T, fl *fleet, _ *environment) {
+			p := poll(1)
+			p.Agent = "b"
+			ask(t, fl, p)
+			old := late
+			old.Fence = 0
+			fl.serve(t.Context(), old)
+			time.Sleep(fl.timing.AgentTimeout)
+			p.Sequence = 2
+			if a := ask(t, fl, p); a.LeaseMillis == 0 {
+				t.Errorf("the successor gets %+v, want a lease", a)
+			}
+		})
+	})
+}
+
+// TestSessionNeedsItsFence: an agent that knows a fence is heard once it has shown that of its
+// session: by the next poll, while another one is heard as before.
+func TestSessionNeedsItsFence(t *testing.T) {
+	withLeases(t, func(t *testing.T, fl *fleet, _ *environment) {
+		p := poll(1)
+		p.Fence = 2<<fenceBits + 1
+		offer := ask(t, fl, p)
+		if offer.LeaseMillis != 0 || offer.Fence <= p.Fence {
+			t.Errorf("an agent of an earlier term gets %+v, want a higher fence and no lease", offer)
+		}
+		if again := ask(t, fl, p); again.Fence != offer.Fence {
+			t.Errorf("it is offered the fences %d and %d", offer.Fence, again.Fence)
+		}
+		p.Sequence, p.Fence = 2, offer.Fence
+		if a := ask(t, fl, p); a.LeaseMillis == 0 || a.Fence != offer.Fence {
+			t.Errorf("with the fence it gets %+v, want a lease", a)
+		}
+		if taken := fl.take()["w"].poll; taken.Sequence != 2 {
+			t.Errorf("the poll %d was taken, want 2", taken.Sequence)
+		}
+	})
+}
+
 // TestLeasesHolds: a poll with nothing to answer is held, and answered as soon as there is
 // something.
 func TestLeasesHolds(t *testing.T) {
--- a/jobs/leader/timing.go
+++ b/jobs/leader/timing.go
@@ -15,6 +15,9 @@
 	LeaseMargin   time.Duration
 	// PollWait is how long a poll is held if there is nothing to answer.
 	PollWait time.Duration
+	// AgentTimeout is how long the present incarnation of an agent may be silent until a former one
+	// is heard again. It exceeds PollWait and the time between two polls together.
+	AgentTimeout time.Duration
 	// HeartbeatInterval is how often a leader writes at least.
 	HeartbeatInterval time.Duration
 	// ElectionTimeout is the silence after which a standby claims the next term. It exceeds
@@ -40,6 +43,7 @@
 		MaxClockDrift:     0.03,
 		LeaseMargin:       300 * time.Millisecond,
 		PollWait:          500 * time.Millisecond,
+		AgentTimeout:      1500 * time.Millisecond,
 		HeartbeatInterval: 400 * time.Millisecond,
 		ElectionTimeout:   time.Second,
 		SuspicionTimeout:  600 * time.Millisecond,
--- a/jobs/runner/delta.go
+++ b/jobs/runner/delta.go
@@ -34,6 +34,7 @@
 		Agent:    p.Agent,
 		Sequence: p.Sequence,
 		Term:     p.Term,
+		Fence:    p.Fence,
 		Wait:     p.Wait,
 		Delta:    &delta,
 	}
--- a/jobs/runner/poll.go
+++ b/jobs/runner/poll.go
@@ -68,11 +68,12 @@
 		Agent:         r.settings.Agent,
 		Sequence:      r.polls.sequence,
 		Term:          r.leader.term,
+		Fence:         r.leader.fence,
 		Complete:      r.present.complete,
 		AckedEnd:      r.present.ends.acked,
 		Wait:          wait,
 		Unresponsive:  r.worker != nil && r.present.contact.unresponsive(now),
-		FailingMillis: r.present.contact.failingFor().Milliseconds(),
+		FailingMillis: r.present.contact.failingMillis(),
 	}
 	p.OpenStarts = r.openStarts(now)
 	if r.open.forget.unanswered(now) {
