A suspected task is not sent to a worker that gives no answer

Change: a suspected unit is not placed on a worker whose syncs fail, and an agent reports a failing sync at once and not with the next poll. The count stays as it is: that such a start did not crash the worker can't be known.

TestSuspectAvoidsSilentWorker and TestFailureIsReportedAtOnce fail without it (mutations).

--- a/jobs/dispatch/suspects.go
+++ b/jobs/dispatch/suspects.go
@@ -144,12 +144,15 @@
 }
 
 // mustKeepApart reports whether the unit must not be placed on the node because of suspects:
-// another unit has the node to itself, or the unit is on trial and the node is not a good place
-// for that.
+// another unit has the node to itself, the unit is a suspect and the worker gives no answer at
+// present, or the unit is on trial and the node is not a good place for that. A start that a
+// worker which has just crashed doesn't answer would count as one more crash under the task.
 func (p *plan) mustKeepApart(w waitingUnit, n *node) bool {
 	switch {
 	case n.trialRun != nil && !isOf(w, n.trialRun):
 		return true
+	case w.suspicion != trusted && !n.failingSince.IsZero():
+		return true
 	case w.suspicion != onTrial || p.now.Sub(w.suspectedAt) >= trialPatience:
 		return false
 	}
--- a/jobs/dispatch/suspects_test.go
+++ b/jobs/dispatch/suspects_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/jobs/assignment"
 	"yarrowgrade.example/yarrowgrade/jobs/job"
 )
 
@@ -53,6 +54,33 @@
 	}
 }
 
+// TestSuspectAvoidsSilentWorker: a task under which a worker has crashed is not placed on a worker
+// that gives no answer. Others are.
+//
+// The start got no answer, the worker had crashed before it, and that counted as one more crash
+// under the task: sound jobs were given up.
+func TestSuspectAvoidsSilentWorker(t *testing.T) {
+	b := newFixture(t, 1, 1)
+	small := job.Resources{CPU: 1000, Memory: 1000, Accelerators: 1}
+	suspect := b.job(1, "", job.Step{Tasks: 1, Resources: small})
+	b.plan(0)
+	b.crash(suspect)
+	trusted := b.job(1, "", job.Step{Tasks: 1, Resources: small})
+	w := b.control.workers["w0-0"]
+	poll := assignment.Poll{Worker: w.name, State: w.state, Complete: true, FailingMillis: 100}
+	b.control.ApplyPoll(b.now, poll)
+	b.plan(0)
+	if len(b.at(suspect)) != 0 || len(b.at(trusted)) != 1 {
+		t.Errorf("the suspect is at %v, the other at %v; want only the other placed", b.at(suspect), b.at(trusted))
+	}
+	poll.FailingMillis = 0
+	b.control.ApplyPoll(b.now, poll)
+	b.plan(0)
+	if len(b.at(suspect)) != 1 {
+		t.Error("the suspect is not placed on the worker that answers again")
+	}
+}
+
 // TestClearedBySoundness: a long-running task is not given up for crashes of its workers long ago.
 func TestClearedBySoundness(t *testing.T) {
 	b := newFixture(t, 1, 4)
--- a/jobs/runner/contact.go
+++ b/jobs/runner/contact.go
@@ -35,12 +35,13 @@
 	return c.failingSince
 }
 
-// failingFor is how long syncs have got no answer; zero while they do.
-func (c contact) failingFor() time.Duration {
+// failingMillis is how long syncs have got no answer, in milliseconds and at least one; zero while
+// they do.
+func (c contact) failingMillis() int64 {
 	if c.failingSince.IsZero() {
 		return 0
 	}
-	return time.Since(c.failingSince)
+	return max(time.Since(c.failingSince).Milliseconds(), 1)
 }
 
 // workerClock relates the worker's clock to this process's.
@@ -80,6 +81,8 @@
 		return
 	}
 	r.present.contact.failingSince = time.Now()
+	// The leader places no suspected task here any more.
+	signal(r.report)
 	r.dependencies.Logger.Warn().Str("step", "runner.list").Stringer("life", r.worker.ID).
 		Int("runs", len(r.present.runs.known)).Err(err).Msg("worker gives no answer")
 }
--- a/jobs/runner/fixture_test.go
+++ b/jobs/runner/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -85,6 +86,13 @@
 	return newest
 }
 
+// all returns the polls in the order in which they came.
+func (o *leader) all() []assignment.Poll {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.polls)
+}
+
 // agent is a runner beside a worker of jobtest.
 type agent struct {
 	leader  *leader
--- a/jobs/runner/reports_test.go
+++ b/jobs/runner/reports_test.go
@@ -46,6 +46,26 @@
 	})
 }
 
+// TestFailureIsReportedAtOnce: a poll says that the worker gives no answer as soon as a sync has
+// failed, so that the leader sends no suspected task there.
+func TestFailureIsReportedAtOnce(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.worker.SetUnreachable(true)
+		// The sync under way fails after its wait and a call's timeout.
+		time.Sleep(1750 * time.Millisecond)
+		failing := time.Duration(0)
+		for _, p := range a.leader.all() {
+			if p.FailingMillis > 0 {
+				failing = time.Duration(p.FailingMillis) * time.Millisecond
+				break
+			}
+		}
+		if failing != time.Millisecond {
+			t.Errorf("the first poll that tells says that it has failed for %v, want 1ms", failing)
+		}
+	})
+}
+
 // garbling is a worker of whose lists one row can't be read for a while.
 type garbling struct {
 	*jobtest.Worker
