--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -26,7 +26,7 @@
 	for _, seed := range []uint64{1, 4} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			logs := t.TempDir()
+			logs := logsOf(t)
 			report, err := playDay(t.Context(), small(), seed, logs)
 			if err != nil {
 				t.Fatal(err)
@@ -39,9 +39,6 @@
 				t.Errorf("%d jobs were accepted and %d faults injected: the day proves nothing",
 					report.accepted, len(report.injected))
 			}
-			if t.Failed() {
-				printLogs(t, logs)
-			}
 		})
 	}
 }
@@ -60,7 +57,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			logs, troubled := t.TempDir(), small()
+			logs, troubled := logsOf(t), small()
 			troubled.Troubled, troubled.SameIDs = true, test.sameIDs
 			report, err := playDay(t.Context(), troubled, test.seed, logs)
 			if err != nil {
@@ -70,13 +67,23 @@
 			for _, v := range report.violations {
 				t.Error(v)
 			}
-			if t.Failed() {
-				printLogs(t, logs)
-			}
 		})
 	}
 }
 
+// logsOf returns a directory for the logs of a day, which are printed if the test fails, also
+// where the day could not be played.
+func logsOf(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	t.Cleanup(func() {
+		if t.Failed() {
+			printLogs(t, dir)
+		}
+	})
+	return dir
+}
+
 // printLogs logs the logs of all processes of a day.
 func printLogs(t *testing.T, dir string) {
 	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
