spec/starts: a run that was given up is placed elsewhere only once its starts are closed

The model left out late starts of a task that was placed elsewhere. Strays are late starts of a task that is done.

--- a/jobs/dispatch/controller.go
+++ b/jobs/dispatch/controller.go
@@ -11,9 +11,9 @@
 // package catalog for guarantees and cordons, and on the caller for the time.
 //
 // The files read in this order: the state (controller.go, jobs.go, tracked.go, worker.go,
-// polls.go, ends.go, crashes.go, durations.go), the decision (plan.go, and from there in the
-// order of its steps: fleet.go, moves.go, headroom.go, queue.go, search.go, preempt.go,
-// reserve.go), and what comes of it (effects.go, desired.go, metrics.go).
+// polls.go, ends.go, open_starts.go, crashes.go, durations.go), the decision (plan.go, and from
+// there in the order of its steps: fleet.go, moves.go, headroom.go, queue.go, search.go,
+// preempt.go, reserve.go), and what comes of it (effects.go, desired.go, metrics.go).
 //
 // Each mechanism of the decision can be switched off by the Policy, for experiments.
 //
--- a/jobs/dispatch/jobs.go
+++ b/jobs/dispatch/jobs.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// keepUnreadable keeps a job that can't be decoded as it is. Its progress may say that it is done, so
-// starting it again could do it twice, and stopping what runs would lose that work. It goes on
+// keepUnreadable keeps a job that can't be decoded as it is. Its progress may say that it is done,
+// so starting it again could do it twice, and stopping what runs would lose that work. It goes on
 // with the next leader that can read it.
 func (c *Controller) keepUnreadable(id job.ID, err error, what string) {
 	if !c.unreadable[id] {
--- a/spec/starts.pml
+++ b/spec/starts.pml
@@ -3,8 +3,8 @@
  * another task has been read of the worker, so that the numbers of the first start are ahead of those of the next.
  *
  * Property: a start of the worker that has heard a fence of its own life starts no run of the task once that was placed elsewhere or its end was read; no end of it is
- * forgotten unread; and it is not placed elsewhere while the worker lists its end. What it carries out before that of orders that were sent to
- * former starts nobody can prevent; such runs are left out (strays).
+ * forgotten unread; and it is not placed elsewhere while the worker lists its end, nor while it runs there or may still start there. A late start of the task once that is
+ * done nobody can prevent; such runs are left out (strays).
  *
  * model                code
  * start, born          which start the worker is, and which one the scheduler knows: life.ID.Born
@@ -14,7 +14,8 @@
  * pending              runner.lifeEnd that is not settled
  * listed               the newest list of this life had the run: dispatch.worker.runs
  * failing              runner.Runner.failing: the call that the worker holds breaks when it crashes
- * starting, telling    a start, or a call that says what was read, is under way and in doubt
+ * starting, telling    a start, or a call that says what was read, is under way and in doubt: runner.openOrders
+ * lost, closed         a task that waits for its open start: dispatch, open_starts.go
  *
  * Mutants (-D): NO_BORN  the scheduler does not see which start made a list
  *               NO_RISE  the fence stays as it is over starts of the worker
@@ -22,10 +23,10 @@
  *               NO_CARRY  what the next start lists of former orders counts as lost
  *               OLD_SEEN  what was read of the former start is told to the next one
  *               TOLD_AT_ONCE  after a silence the worker is told what was read before it has listed
+ *               NO_HOLD  a run that was given up is placed elsewhere at once
  *               BOTH_IN_DOUBT  a start and a call that says what was read may be under way at once
  *
- * The last one is why a start and a call that says what was read are never open at once: runner.openOrders. That a task is
- * placed elsewhere only once its start can't come any more (dispatch, open_starts.go) is not in the model; strays are left out.
+ * The last one is why a start and a call that says what was read are never open at once.
  */
 #define STARTS 2
 #ifdef TOLD_AT_ONCE
@@ -52,11 +53,13 @@
 /* The scheduler. */
 byte born = 0, gen = 1, seen = 1;
 bool failing = false, placed = false, pending = false, listed = false, done = false, elsewhere = false;
+bool lost = false;                                 /* the run was given up, and nothing is placed */
+bool closed = true;                                /* no start can come any more, and the worker was listed after that */
 
-inline place_elsewhere() {
+inline give_up() {
   /* An end that stands in the present list would be counted later. */
   assert(!(ended && born == start));
-  placed = false; elsewhere = true
+  placed = false; lost = true
 }
 
 inline forget(up_to) {
@@ -78,8 +81,8 @@
        if
        :: starting_gen >= heard ->
           if
-          :: sent_to != start && !own && (elsewhere || done) -> skip         /* a stray */
-          :: (sent_to == start || own || !(elsewhere || done)) && !runs && !was -> assert(!elsewhere); assert(!done); runs = true
+          :: sent_to != start && !own && done -> skip                        /* a stray */
+          :: (sent_to == start || own || !done) && !runs && !was -> assert(!elsewhere); assert(!done); runs = true
           :: else -> skip
           fi;
           heard = starting_gen
@@ -98,12 +101,18 @@
      }
   :: telling -> telling = false
   /* The scheduler places the run, sends it, and again where it got no answer. */
-  :: !placed && !done && !elsewhere -> placed = true
+  :: !placed && !done && !elsewhere && !lost -> placed = true
+  /* A run that was given up is placed elsewhere once its starts are closed. */
+#ifdef NO_HOLD
+  :: lost -> atomic { lost = false; elsewhere = true; assert(!runs) }
+#else
+  :: lost && closed && !starting -> atomic { lost = false; elsewhere = true; assert(!runs) }
+#endif
 #ifdef BOTH_IN_DOUBT
-  :: placed && !pending && !starting -> atomic { starting = true; starting_gen = gen; sent_to = start }
+  :: placed && !pending && !starting -> atomic { starting = true; closed = false; starting_gen = gen; sent_to = start }
   :: seen > 0 && !telling && !pending && TELL -> atomic { telling = true; telling_gen = gen; told = seen }
 #else
-  :: placed && !pending && !starting && !telling -> atomic { starting = true; starting_gen = gen; sent_to = start }
+  :: placed && !pending && !starting && !telling -> atomic { starting = true; closed = false; starting_gen = gen; sent_to = start }
   :: seen > 0 && !telling && !starting && !pending && TELL -> atomic { telling = true; telling_gen = gen; told = seen }
 #endif
   /* A list, under the fence of the present life: made and read. */
@@ -121,7 +130,7 @@
           if
           :: placed ->
 #ifdef EARLY_END
-             place_elsewhere()
+             give_up()
 #else
              pending = true
 #endif
@@ -133,14 +142,22 @@
 #endif
           own = true;
           if
+          :: !starting -> closed = true
+          :: else -> skip
+          fi;
+          if
+          :: lost && (runs || ended) -> lost = false; placed = true          /* carried out after all */
+          :: else -> skip
+          fi;
+          if
           :: pending ->
              pending = false;
              if
 #ifndef NO_CARRY
              :: runs || ended -> skip                     /* carried over: it is placed here */
-             :: else -> place_elsewhere()
+             :: else -> give_up()
 #else
-             :: true -> place_elsewhere()
+             :: true -> give_up()
 #endif
              fi
           :: else -> skip
@@ -150,7 +167,7 @@
 #endif
           if
           :: placed && ended && end_number > seen -> done = true; placed = false; seen = end_number
-          :: placed && listed && !runs && !(ended && end_number > seen) -> place_elsewhere()   /* gone without an end */
+          :: placed && listed && !runs && !(ended && end_number > seen) -> give_up()   /* gone without an end */
           :: else -> skip
           fi;
           listed = runs
