soak: a job whose end was told two minutes ago may be forgotten

Entries keep an ended job for two minutes (what callers are promised) and one more. So nothing was lost: the users' page says that a job's state is there for that long, and 410 after it.

The check is narrowed to that case alone: a job that is not known is not lost if an entry has told its end before, and callers may no longer ask for it. What was never seen ended counts as lost as before, and the end that was told takes the place of the answer in the other checks.

--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -54,6 +54,7 @@
 	// restarts is nil on a day on which each incarnation has an ID of its own.
 	restarts   *restarts
 	random     *rand.Rand
+	endings    endings
 	violations []string
 }
 
@@ -71,7 +72,7 @@
 	}
 	planned := seed%4 == 0
 	d := &day{
-		settings: s, cluster: c, random: rand.New(rand.NewPCG(seed, 1)),
+		settings: s, cluster: c, random: rand.New(rand.NewPCG(seed, 1)), endings: endings{},
 		callers:  newCallers(c, rand.New(rand.NewPCG(seed, 2)), planned),
 		injector: &injector{cluster: c, random: rand.New(rand.NewPCG(seed, 3)), planned: planned},
 	}
@@ -214,13 +215,19 @@
 	}
 }
 
-// unsettled returns a violation for each accepted job that some entry doesn't say has ended.
+// unsettled returns a violation for each accepted job that some entry doesn't say has ended. Once
+// callers have been told the end of a job and may no longer ask for it, entries may forget it.
 func (d *day) unsettled(ctx context.Context) []string {
 	var open []string
 	for id := range d.callers.accepted {
 		for i := range d.cluster.entries {
 			state, a := d.callers.caller(i, keptKey).State(ctx, prefix(d.callers.queueOf[id]), id)
-			if !ended(state) {
+			now := time.Now()
+			switch {
+			case ended(state):
+				d.endings.note(id, state, now)
+			case a.Status == statusUnknownJob && d.endings.mayBeForgotten(id, now):
+			default:
 				open = append(open, fmt.Sprintf("LOST: entry-%d says of accepted job %s: %q (status %d, %v)",
 					i, id, state, a.Status, a.Err))
 			}
@@ -250,7 +257,10 @@
 
 func (d *day) checkEnd(ctx context.Context, id job.ID) {
 	workers := d.cluster.platform.Workers
-	state, _ := d.callers.caller(0, keptKey).State(ctx, prefix(d.callers.queueOf[id]), id)
+	state, a := d.callers.caller(0, keptKey).State(ctx, prefix(d.callers.queueOf[id]), id)
+	if a.Status == statusUnknownJob {
+		state = d.endings[id].state
+	}
 	switch {
 	case state == "completed" && !workers.AllDone(id):
 		d.violate("MIXED: job %s is completed, and not all of its tasks have ended so", id)
