--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -55,6 +55,7 @@
 	restarts   *restarts
 	random     *rand.Rand
 	endings    endings
+	standstill standstill
 	violations []string
 }
 
@@ -82,6 +83,7 @@
 	if s.SameIDs && !planned {
 		d.restarts = newRestarts(c, seed)
 	}
+	go d.standstill.watch(ctx)
 	if !d.servesWithin(ctx, startTimeout) {
 		return report{}, errNotUp
 	}
@@ -206,12 +208,18 @@
 // statusUnknownJob is the status of an answer about an unknown job.
 const statusUnknownJob = 410
 
-// settle waits until every entry says that all accepted jobs have ended.
+// settle waits until every entry says that all accepted jobs have ended. Time for which the machine
+// stands still does not count.
 func (d *day) settle(ctx context.Context) {
-	for began := time.Now(); time.Since(began) < settleTimeout && ctx.Err() == nil; time.Sleep(pollPause) {
+	began, stood := time.Now(), d.standstill.length()
+	for ctx.Err() == nil {
 		if len(d.unsettled(ctx)) == 0 {
 			return
 		}
+		time.Sleep(pollPause)
+		if time.Since(began)-(d.standstill.length()-stood) >= settleTimeout {
+			return
+		}
 	}
 }
 
