Workers without start times have no open orders

Nothing is kept for such workers now, as the comment of openOrders says.

TestNoOpenOrdersWithoutStartTimes fails before (no start in place of one), the mutation forgets-of-all-workers-tracked brings it back and is caught.

--- a/jobs/runner/open_orders_test.go
+++ b/jobs/runner/open_orders_test.go
@@ -5,9 +5,15 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
+	"yarrowgrade.example/yarrowgrade/jobs/job"
+	"yarrowgrade.example/yarrowgrade/jobs/jobtest"
 	"yarrowgrade.example/yarrowgrade/jobs/runner"
 )
 
@@ -147,3 +153,43 @@
 		}
 	})
 }
+
+// TestNoOpenOrdersWithoutStartTimes: where each incarnation has an instance of its own, a sync
+// without an answer that lets the worker forget ends holds up no start.
+func TestNoOpenOrdersWithoutStartTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		workers := jobtest.NewWorkers(1)
+		workers.NoStartTimes, workers.Work = true, 200*time.Millisecond
+		step := job.Step{Tasks: 1, Resources: job.Resources{Accelerators: 1}}
+		workers.Expect(&job.Job{ID: task.Job, Service: "s", Steps: []job.Step{step}})
+		m := &mute{Worker: workers.Add("w", "s", "z", "r", job.Resources{Accelerators: 2})}
+		o := granting()
+		o.answer.Start = []assignment.Start{{RunID: id(1)}}
+		r := runner.New(agentSettings("1"),
+			runner.Dependencies{Worker: m, Leader: o, Logger: zerolog.Nop(), Metrics: tally.NoopScope})
+		go workers.Run(ctx)
+		go r.Run(ctx)
+		beat := func() {
+			reported, _ := m.Worker.(*jobtest.Worker).Beat()
+			r.Heartbeat(t.Context(), reported)
+		}
+		beat()
+		time.Sleep(2 * time.Second)
+		beat()
+		m.set(time.Time{}, time.Now().Add(500*time.Millisecond))
+		o.set(func(a *assignment.Answer) { a.Start, a.AckedEnd = nil, 1 })
+		time.Sleep(1500 * time.Millisecond)
+		beat()
+		o.set(func(a *assignment.Answer) { a.Start = []assignment.Start{{RunID: id(2)}} })
+		time.Sleep(time.Second)
+		if starts, forgets := m.sent(); len(starts) != 1 || len(forgets) == 0 {
+			t.Errorf("starts were sent at %v, forgets at %v; want one start", starts, forgets)
+		}
+		if p := o.last(); p.NoStartsMillis != 0 || len(p.OpenStarts) != 0 {
+			t.Errorf("the agent reports %d ms without starts, and open starts %+v", p.NoStartsMillis, p.OpenStarts)
+		}
+		cancel()
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/jobs/runner/sync.go
+++ b/jobs/runner/sync.go
@@ -59,6 +59,8 @@
 	syncCall
 	at         time.Time
 	generation int
+	// tracked is set if the sync is kept among the open orders.
+	tracked bool
 	// running are the runs that were running.
 	running map[assignment.RunID]bool
 }
@@ -87,12 +89,14 @@
 	if ok {
 		call.forget = r.toForget(now)
 	}
-	if call.forget > 0 && r.sharesInstance() {
+	tracked := call.forget > 0 && r.sharesInstance()
+	if tracked {
 		// The shorter the call, the less often it gets no answer.
 		call.wait = 0
 		r.open.forgetSent(order.Incarnation.Instance)
 	}
-	return syncSent{syncCall: call, at: now, generation: r.generation, running: r.present.runs.running()}, ok
+	running := r.present.runs.running()
+	return syncSent{syncCall: call, at: now, generation: r.generation, tracked: tracked, running: running}, ok
 }
 
 // toForget is up to which end the worker may forget its ends. It is zero once the worker has
@@ -122,7 +126,7 @@
 func (r *Runner) applySync(call syncSent, list Listing, clock int64, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if call.forget > 0 {
+	if call.tracked {
 		r.open.forgetReturned(call.order.Incarnation.Instance, time.Now(), err == nil || notApplied(err))
 	}
 	if call.generation != r.generation {
