--- a/jobs/assignment/assignment.go
+++ b/jobs/assignment/assignment.go
@@ -115,7 +115,7 @@
 }
 
 // MaxOrderDelay is the longest time after which a worker still carries out an order that got no
-// answer. The platform names no figure but "seconds"; this is above all that were seen.
+// answer. The platform promises no bound, only that it is seconds.
 const MaxOrderDelay = 12 * time.Second
 
 // OpenStart is a start that got no answer, or none yet. A later incarnation of the worker under
