--- a/jobs/jobtest/starts_test.go
+++ b/jobs/jobtest/starts_test.go
@@ -110,8 +110,18 @@
 // playDrawn plays drawn days with systems of a shape. begin is called at the start of each.
 func playDrawn(t *testing.T, sh shape, begin func(s *system, seed uint64)) {
 	t.Helper()
-	for n := range *seeds {
-		seed := *firstSeed + uint64(n)
+	drawn := make([]uint64, *seeds)
+	for n := range drawn {
+		drawn[n] = *firstSeed + uint64(n)
+	}
+	playSeeds(t, drawn, sh, begin)
+}
+
+// playSeeds plays the days of these seeds with systems of a shape. begin is called at the start of
+// each.
+func playSeeds(t *testing.T, seeds []uint64, sh shape, begin func(s *system, seed uint64)) {
+	t.Helper()
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
