Nothing is placed on a worker to which no start can be sent

The leader keeps the incarnation that the former agent told, takes the worker for usable, and its lease is over since 15.6 s. Runs 3, 4 and 5 are placed there, each is lost 0.1 s later with the lease that is over, counts as one of the last starts of its task, and the silent incarnation as one more crash. Another hypothesis, that the agent sends these starts and they get no answer, is refuted: the agent logs none of them.

A worker is usable now only while the newest poll is of the incarnation that the leader knows, and no longer once its lease is over. The leader sends starts to that incarnation alone, so nothing that could start is held back.

dispatch.TestNoStartWhereNoneCanBeSent failed in three of its five cases before, TestStartsOnExpiredLeaseAreNoCrashes with "the job is failed after 4 crashes, want 2".

--- /dev/null
+++ b/jobs/dispatch/described_test.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"yarrowgrade.example/yarrowgrade/jobs/assignment"
+	"yarrowgrade.example/yarrowgrade/jobs/incarnation"
+	"yarrowgrade.example/yarrowgrade/jobs/job"
+)
+
+// TestNoStartWhereNoneCanBeSent: nothing is placed on a worker whose agent can send no start to the
+// incarnation that is known here.
+//
+// Runs were placed there one after the other, and each was lost at once with the lease that was over.
+func TestNoStartWhereNoneCanBeSent(t *testing.T) {
+	tests := []struct {
+		name string
+		// strike lets the worker be unfit for starts; poll was its last one.
+		strike func(c *Controller, now time.Time, poll assignment.Poll)
+		placed bool
+	}{
+		{"its agent describes it", func(c *Controller, now time.Time, poll assignment.Poll) {
+			c.ApplyPoll(now, poll)
+		}, true},
+		{"its agent has not listed its runs yet", func(c *Controller, now time.Time, poll assignment.Poll) {
+			poll.Complete = false
+			c.ApplyPoll(now, poll)
+		}, true},
+		{"its agent knows no incarnation", func(c *Controller, now time.Time, poll assignment.Poll) {
+			poll.Agent, poll.State, poll.Complete = "agent/2", nil, false
+			c.ApplyPoll(now, poll)
+		}, false},
+		{"its agent knows a later incarnation", func(c *Controller, now time.Time, poll assignment.Poll) {
+			next := *poll.State
+			next.ID.StartMillis++
+			poll.Agent, poll.State, poll.Complete = "agent/2", &next, false
+			c.ApplyPoll(now, poll)
+		}, false},
+		{"its lease is over", func(c *Controller, now time.Time, poll assignment.Poll) {
+			c.ApplyPoll(now, poll)
+			c.ExpireLeases(map[string]bool{poll.Worker: true})
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 1, 1)
+			poll := assignment.Poll{Worker: "w0-0", State: b.control.workers["w0-0"].state, Complete: true}
+			b.control.ApplyPoll(b.now, poll)
+			test.strike(b.control, b.now, poll)
+			j := b.job(1, "other", job.Step{Tasks: 1})
+			b.plan(0)
+			if placed := len(b.at(j)) == 1; placed != test.placed {
+				t.Errorf("placed: %v, want %v", placed, test.placed)
+			}
+			b.control.ApplyPoll(b.now, poll)
+			b.plan(100 * time.Millisecond)
+			if len(b.at(j)) != 1 {
+				t.Error("it is not placed once its agent describes the worker again")
+			}
+		})
+	}
+}
+
+// TestStartsOnExpiredLeaseAreNoCrashes: a job is not given up for runs that were placed on a worker
+// after its lease was over.
+//
+// The agent had restarted and did not know the worker, which was out of reach. Three runs were placed
+// there one after the other, and counted as a crash and as the last starts of the task when the next
+// incarnation was reported.
+func TestStartsOnExpiredLeaseAreNoCrashes(t *testing.T) {
+	const crashes = 2
+	b := newFixture(t, 1, 1)
+	j := b.job(1, "other", job.Step{Tasks: 1, LongRunning: true})
+	b.plan(0)
+	for range crashes {
+		w, id, poll := b.reported(j)
+		former := w.state.ID
+		runs := []assignment.InterruptedRun{{RunID: id, Started: true}}
+		poll.EndedIncarnations = []assignment.IncarnationEnd{{ID: former, Complete: true, Runs: runs}}
+		poll.State = restarted(w.state)
+		b.control.ApplyPoll(b.now, poll)
+		b.control.ApplyPoll(b.now, assignment.Poll{Worker: w.name, State: poll.State, Complete: true})
+		if crashes := j.progress.Task(id.Task).SuspectedCrashes(); crashes < 2 {
+			b.plan(recentCrash)
+		}
+	}
+	w := b.control.workers["w0-0"]
+	for range 5 {
+		b.control.ApplyPoll(b.now, assignment.Poll{Worker: w.name, Agent: "agent/2"})
+		b.control.ExpireLeases(map[string]bool{w.name: true})
+		b.plan(trialPatience)
+	}
+	b.control.ApplyPoll(b.now, assignment.Poll{Worker: w.name, Agent: "agent/2", State: restarted(w.state), Complete: true})
+	got := j.progress.Task(job.TaskName{Job: j.job.ID}).SuspectedCrashes()
+	if got != crashes || j.progress.Phase == job.Failed {
+		t.Errorf("the job is %v after %d crashes, want %d, and that it goes on", j.progress.Phase, got, crashes)
+	}
+}
+
+// restarted is a worker in its next incarnation under the same instance.
+func restarted(s *assignment.WorkerState) *assignment.WorkerState {
+	next := *s
+	next.ID = incarnation.ID{Instance: s.ID.Instance, StartMillis: s.ID.StartMillis + 1}
+	return &next
+}
--- a/jobs/dispatch/fixture_test.go
+++ b/jobs/dispatch/fixture_test.go
@@ -71,9 +71,10 @@
 // addWorker adds a worker that was heard just now.
 func (b *fixture) addWorker(name, rack string) {
 	b.control.workers[name] = &worker{
-		name:    name,
-		heardAt: b.now,
-		runs:    map[assignment.RunID]observedRun{},
+		name:      name,
+		heardAt:   b.now,
+		described: true,
+		runs:      map[assignment.RunID]observedRun{},
 		state: &assignment.WorkerState{
 			ID:       incarnation.ID{Instance: name, StartMillis: 1},
 			Service:  service,
--- a/jobs/dispatch/fleet.go
+++ b/jobs/dispatch/fleet.go
@@ -110,8 +110,8 @@
 		silent := w.unresponsive || p.now.Sub(w.heardAt) > p.silentAfter
 		n.listed = w.listed && !silent
 		n.cordoned = p.cordons.Has(w.state.Zone)
-		n.usable = !silent && !w.closing && !w.state.Draining && !n.cordoned && !w.health.Quarantined(p.now) &&
-			!p.now.Before(w.noStartsUntil)
+		n.usable = w.described && !silent && !w.state.Draining && !n.cordoned &&
+			!w.health.Quarantined(p.now) && !p.now.Before(w.noStartsUntil)
 		p.nodes = append(p.nodes, n)
 		p.byName[w.name] = n
 	}
--- a/jobs/dispatch/polls.go
+++ b/jobs/dispatch/polls.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
@@ -17,13 +16,11 @@
 	w := c.ensureWorker(poll.Worker)
 	w.heardAt, w.unresponsive, w.failingSince = now, poll.Unresponsive, time.Time{}
 	c.applyOpenStarts(now, w, poll)
-	w.closing = w.state != nil && slices.Contains(poll.ClosingIncarnations, w.state.ID)
 	if poll.FailingMillis > 0 {
 		w.failingSince = now.Add(-time.Duration(poll.FailingMillis) * time.Millisecond)
 	}
 	w.listed = poll.State != nil && poll.Complete
 	if w.listed {
-		w.closing = false
 		c.applyState(now, w, poll)
 	}
 	for _, end := range poll.EndedIncarnations {
@@ -34,6 +31,7 @@
 			c.desired.markWorker(w.name)
 		}
 	}
+	w.described = w.state != nil && poll.State != nil && w.state.ID == poll.State.ID
 }
 
 // applyState takes over a poll that describes the worker completely.
@@ -159,8 +157,10 @@
 		return
 	}
 	for name := range workers {
-		// What it listed before its lease expired is over.
-		c.ensureWorker(name).listed = false
+		// What it listed before its lease expired is over, and nothing starts there until it gets
+		// another one.
+		w := c.ensureWorker(name)
+		w.listed, w.described = false, false
 	}
 	for _, t := range c.active {
 		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
--- a/jobs/dispatch/worker.go
+++ b/jobs/dispatch/worker.go
@@ -14,9 +14,9 @@
 	name string
 	// state is nil while no incarnation of the worker is known.
 	state *assignment.WorkerState
-	// closing says that the agent knows the incarnation to be over, and has not reported its
-	// end yet.
-	closing bool
+	// described says that the newest poll is of this incarnation and its lease was not over since:
+	// otherwise the agent can send it no starts.
+	described bool
 	// heardAt is when the newest poll arrived.
 	heardAt time.Time
 	// leavesAt is the earliest time at which a draining worker goes.
