A start that no agent was told of counts as no crash, and is not open

A sound job lost tries for starts that never left the leader: a run that is placed in the moment in which its worker's agent is killed, or its lease ends, was taken for one that may have crashed the worker, and its task waited for up to 20 s for a late start that nobody had sent.

The leader notes which starts its answers to agents have carried. A run of which none did was never there, whatever becomes of its worker. Both are taken under the lock under which answers are made, after the polls or the expired leases that may end the run, so a start that was sent is never missed. Runs that an earlier leader has placed may have been sent, as before.

--- a/jobs/dispatch/described_test.go
+++ b/jobs/dispatch/described_test.go
@@ -104,3 +104,55 @@
 	next.ID = incarnation.ID{Instance: s.ID.Instance, StartMillis: s.ID.StartMillis + 1}
 	return &next
 }
+
+// TestUnsentStartIsNoCrash: a run that no agent was told of neither counts as a crash under its task
+// nor keeps it waiting for a late start.
+//
+// Its worker's agent was killed in the moment between the decision and the next poll.
+func TestUnsentStartIsNoCrash(t *testing.T) {
+	tests := []struct {
+		name string
+		sent bool
+		lose func(b *fixture, w *worker, poll assignment.Poll)
+	}{
+		{"its lease is over", false, loseByLease},
+		{"it was sent, its lease is over", true, loseByLease},
+		{"its worker restarts with its agent", false, loseByRestart},
+		{"it was sent, its worker restarts with its agent", true, loseByRestart},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 1, 2)
+			j := b.job(1, "other", job.Step{Tasks: 1})
+			b.planUnsent(0)
+			w, id, poll := b.reported(j)
+			if test.sent {
+				b.control.NoteSent(map[assignment.RunID]bool{id: true})
+			}
+			poll.Agent = "agent/1"
+			b.control.ApplyPoll(b.now, poll)
+			test.lose(b, w, poll)
+			b.plan(100 * time.Millisecond)
+			task := j.progress.Task(id.Task)
+			if counted := task.SuspectedCrashes() > 0; counted != test.sent {
+				t.Errorf("it counts as a crash: %v, want %v", counted, test.sent)
+			}
+			if waits := !task.Placed(); waits != test.sent {
+				t.Errorf("the task waits: %v, want %v", waits, test.sent)
+			}
+		})
+	}
+}
+
+// loseByLease ends the runs of a worker with its lease, and lets it report its next incarnation.
+func loseByLease(b *fixture, w *worker, poll assignment.Poll) {
+	b.control.ExpireLeases(map[string]bool{w.name: true})
+	loseByRestart(b, w, poll)
+}
+
+// loseByRestart lets a worker report its next incarnation to an agent that has restarted too.
+func loseByRestart(b *fixture, w *worker, poll assignment.Poll) {
+	b.control.ApplyPoll(b.now, assignment.Poll{
+		Worker: w.name, Agent: "agent/2", State: restarted(poll.State), Complete: true,
+	})
+}
--- a/jobs/dispatch/effects.go
+++ b/jobs/dispatch/effects.go
@@ -13,6 +13,7 @@
 	for i, name := range w.unit.Tasks {
 		n := at[i]
 		w.tracked.progress.Assign(p.now, name, run, n.name, n.state.ID)
+		w.tracked.unsent[name] = run
 		p.takeRoom(w, n)
 		r := &running{
 			tracked:   w.tracked,
--- a/jobs/dispatch/ends.go
+++ b/jobs/dispatch/ends.go
@@ -104,6 +104,9 @@
 ) bool {
 	e := assignment.End{RunID: assignment.RunID{Task: name, Run: placed.Run}, Reason: job.EndLost}
 	worker, on := placed.Worker, placed.Incarnation
+	if t.isUnsent(e.RunID) {
+		loss = unsentLoss
+	}
 	if w := c.workers[worker]; w != nil {
 		if o, known := w.runs[e.RunID]; known {
 			e.TookMillis = time.Since(o.startedAt).Milliseconds()
--- a/jobs/dispatch/fixture_test.go
+++ b/jobs/dispatch/fixture_test.go
@@ -110,8 +110,16 @@
 	return t
 }
 
-// plan makes one decision after a time; all workers were heard just before.
+// plan makes one decision after a time, and tells the agents; all workers were heard just before.
 func (b *fixture) plan(after time.Duration) {
+	b.planUnsent(after)
+	for _, t := range b.control.jobs {
+		clear(t.unsent)
+	}
+}
+
+// planUnsent makes one decision after a time, and tells no agent.
+func (b *fixture) planUnsent(after time.Duration) {
 	b.now = b.now.Add(after)
 	for _, w := range b.control.workers {
 		w.heardAt = b.now
--- a/jobs/dispatch/open_starts.go
+++ b/jobs/dispatch/open_starts.go
@@ -58,7 +58,9 @@
 	for _, t := range c.active {
 		t.progress.Placed(t.job.ID, func(name job.TaskName, placed *job.Task) {
 			if placed.Worker == w.name && placed.Incarnation.StartMillis != 0 {
-				w.former.starts[assignment.RunID{Task: name, Run: placed.Run}] = true
+				if id := (assignment.RunID{Task: name, Run: placed.Run}); !t.isUnsent(id) {
+					w.former.starts[id] = true
+				}
 			}
 		})
 	}
@@ -82,15 +84,15 @@
 
 // assumeOpenStart takes the start of a run for open whose worker's lease has expired before it
 // was reported as started.
-func (c *Controller) assumeOpenStart(name job.TaskName, placed *job.Task) {
-	w := c.workers[placed.Worker]
-	if w == nil || placed.Incarnation.StartMillis == 0 || w.hasStarted(name, placed) {
+func (c *Controller) assumeOpenStart(t *trackedJob, name job.TaskName, placed *job.Task) {
+	w, id := c.workers[placed.Worker], assignment.RunID{Task: name, Run: placed.Run}
+	if w == nil || placed.Incarnation.StartMillis == 0 || w.hasStarted(name, placed) || t.isUnsent(id) {
 		return
 	}
 	if w.openStarts == nil {
 		w.openStarts = map[assignment.RunID]time.Time{}
 	}
-	w.openStarts[assignment.RunID{Task: name, Run: placed.Run}] = time.Now().Add(openStartLimit)
+	w.openStarts[id] = time.Now().Add(openStartLimit)
 }
 
 // holdTask keeps a task whose run has ended from starting elsewhere while a start of that run is open.
--- a/jobs/dispatch/polls.go
+++ b/jobs/dispatch/polls.go
@@ -165,7 +165,7 @@
 	for _, t := range c.active {
 		t.progress.Placed(t.job.ID, func(task job.TaskName, placed *job.Task) {
 			if workers[placed.Worker] {
-				c.assumeOpenStart(task, placed)
+				c.assumeOpenStart(t, task, placed)
 				c.loseRun(t, task, placed, leaseOver, c.unresolvedLoss(task, placed))
 			}
 		})
--- a/jobs/dispatch/tracked.go
+++ b/jobs/dispatch/tracked.go
@@ -14,6 +14,8 @@
 	// dirty says that the progress has changes that are not stored yet.
 	dirty bool
 
+	// unsent are the placed runs that no agent was told of, by their tasks.
+	unsent map[job.TaskName]int
 	// stops are the placed runs that were told to stop, by their tasks.
 	stops map[job.TaskName]stopOrder
 	// gangEnds says why the newest run of a gang that ended did so, by the gang's first task.
@@ -49,6 +51,7 @@
 	return &trackedJob{
 		job:         j,
 		progress:    job.NewProgress(),
+		unsent:      map[job.TaskName]int{},
 		stops:       map[job.TaskName]stopOrder{},
 		gangEnds:    map[job.TaskName]gangEnd{},
 		failedAt:    map[string]time.Time{},
--- a/jobs/leader/fleet.go
+++ b/jobs/leader/fleet.go
@@ -35,6 +35,8 @@
 	term int64
 	// fences counts those given out in the term.
 	fences int64
+	// sent are the starts that answers have carried since takeSent was last called.
+	sent map[assignment.RunID]bool
 	// proof is when the newest acknowledged append of the term was sent.
 	proof suspend.Instant
 	// published says that a decision of the term has been published.
@@ -67,6 +69,7 @@
 	f.term, f.fences, f.proof = term, 0, suspend.Instant{}
 	f.published, f.lastPoll = false, time.Now()
 	f.workers, f.deciding = map[string]*worker{}, map[*worker]bool{}
+	f.sent = map[assignment.RunID]bool{}
 }
 
 // close ends the term: polls are redirected from now on.
@@ -122,6 +125,16 @@
 	return polls
 }
 
+// takeSent returns the starts that answers have carried since the last call. Called after take or
+// expire it has all that may have been sent before what these return.
+func (f *fleet) takeSent() map[assignment.RunID]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sent := f.sent
+	f.sent = map[assignment.RunID]bool{}
+	return sent
+}
+
 // publish acknowledges the polls that were taken and puts in force what is desired anew; all of
 // it must be stored. It wakes only the held polls that this concerns: waking all at each decision
 // would be work that grows with the square of the workers.
--- a/jobs/leader/leadership.go
+++ b/jobs/leader/leadership.go
@@ -87,13 +87,17 @@
 // that this took without the append.
 func (l *leadership) decide(ctx context.Context) (worked time.Duration, err error) {
 	now := time.Now()
-	for _, p := range l.fleet.take() {
+	polls := l.fleet.take()
+	l.controller.NoteSent(l.fleet.takeSent())
+	for _, p := range polls {
 		l.controller.ApplyPoll(p.at, p.poll)
 	}
 	for _, job := range l.deps.Replica.TakeChanged() {
 		l.controller.ApplyJob(job)
 	}
-	l.controller.ExpireLeases(l.fleet.expire(l.controller.WorkersInUse(), now, l.formerLeases))
+	expired := l.fleet.expire(l.controller.WorkersInUse(), now, l.formerLeases)
+	l.controller.NoteSent(l.fleet.takeSent())
+	l.controller.ExpireLeases(expired)
 	l.controller.Plan(ctx, now)
 	records, err := l.controller.TakeRecords(now)
 	if err != nil {
--- a/jobs/leader/poll.go
+++ b/jobs/leader/poll.go
@@ -215,6 +215,9 @@
 		r.urgent = true
 	case f.published && !w.expired && poll.State.ID == w.desired.Incarnation:
 		r.addOrders(poll, w.desired)
+		for _, s := range r.answer.Start {
+			f.sent[s.RunID] = true
+		}
 	}
 	return r, true
 }
--- a/jobs/leader/poll_test.go
+++ b/jobs/leader/poll_test.go
@@ -227,3 +227,29 @@
 		}
 	})
 }
+
+// TestSentStarts: each start that an answer has carried is known as sent, and no other: one that was
+// not sent is no crash of a worker, and one that was may be.
+func TestSentStarts(t *testing.T) {
+	withLeases(t, func(t *testing.T, fl *fleet, _ *environment) {
+		ask(t, fl, poll(1))
+		publishOne(fl)
+		if sent := fl.takeSent(); len(sent) != 0 {
+			t.Errorf("before an answer has carried it: %v", sent)
+		}
+		ask(t, fl, poll(2))
+		if sent := fl.takeSent(); !sent[desiredRun] {
+			t.Errorf("after an answer has carried it: %v", sent)
+		}
+		if sent := fl.takeSent(); len(sent) != 0 {
+			t.Errorf("it is taken twice: %v", sent)
+		}
+		time.Sleep(fl.timing.leaseEnd() + time.Millisecond)
+		fl.prove(fl.clock.Now())
+		fl.expire(map[string]bool{"w": true}, time.Now(), time.Time{})
+		ask(t, fl, poll(3))
+		if sent := fl.takeSent(); len(sent) != 0 {
+			t.Errorf("after the worker's lease has expired: %v", sent)
+		}
+	})
+}
