A suspected task is sent to a worker only once that has answered

Five tell the same story: two or three workers crash under a task, then its next start is sent to worker-0 or worker-1 at 15.7 or 15.9 s, some milliseconds after their rack has lost power. It gets no answer ("context deadline exceeded", begun=false), counts as one more crash and uses up one of the two last starts, and the job is lost with its next stop or crash. The agent can't know: its held sync shows after up to 1.7 s that the worker is gone.

The agent then asks the worker first, by a sync that is not held, and sends the start only after the answer. It costs a suspected task one round trip. What callers accept (no third start after the third crash) is counted as before.

runner.TestSuspectOnGoneWorker fails without it ("the run may have been there: true, want false").

--- a/jobs/assignment/answer.go
+++ b/jobs/assignment/answer.go
@@ -48,6 +48,10 @@
 	Checkpoint string `json:"s,omitempty"`
 	// Permit is the token of a permit, on queues that need one.
 	Permit string `json:"ticket,omitempty"`
+	// Suspect is set if workers have crashed under the task. The agent sends such a start only
+	// once the worker has answered just before: one to a worker that is gone would count as one more
+	// crash.
+	Suspect bool `json:"suspect,omitempty"`
 }
 
 // Role is how a run shares its worker's processors with others.
--- a/jobs/assignment/golden_test.go
+++ b/jobs/assignment/golden_test.go
@@ -58,7 +58,7 @@
 		Fence:           65537,
 		HeldMillis:      300,
 		LeaseMillis:     6000,
-		Start:           []Start{{RunID: goldenRun, Spec: "spec", Checkpoint: "ckpt-9", Permit: "ticket"}},
+		Start:           []Start{{RunID: goldenRun, Spec: "spec", Checkpoint: "ckpt-9", Permit: "ticket", Suspect: true}},
 		Stop:            []RunID{goldenRun},
 		StopUnlisted:    []RunID{goldenRun},
 		ZoneOpen:        true,
--- a/jobs/dispatch/desired.go
+++ b/jobs/dispatch/desired.go
@@ -127,6 +127,7 @@
 		RunID:      assignment.RunID{Task: name, Run: task.Run},
 		Spec:       t.job.Spec,
 		Checkpoint: task.Checkpoint,
+		Suspect:    task.SuspectedCrashes() > 0,
 	}
 	if t.job.NeedsPermit {
 		start.Permit, _ = c.permits.permit(stepKey(name), task.Incarnation, now)
--- a/jobs/dispatch/suspects_test.go
+++ b/jobs/dispatch/suspects_test.go
@@ -98,3 +98,18 @@
 		t.Errorf("the job is %v after ten crashes, each after a minute of work", lasting.progress.Phase)
 	}
 }
+
+// TestSuspectIsTold: the agent is told that workers have crashed under the task that it is to start.
+func TestSuspectIsTold(t *testing.T) {
+	b := newFixture(t, 1, 1)
+	j := b.job(1, "", job.Step{Tasks: 1})
+	for _, want := range []bool{false, true} {
+		b.plan(recentCrash)
+		name := job.TaskName{Job: j.job.ID}
+		told := b.control.TakeDesired(b.now)["w0-0"].Runs[name].Start
+		if told.Run == 0 || told.Suspect != want {
+			t.Errorf("told: %+v, want suspect: %v", told, want)
+		}
+		b.crash(j)
+	}
+}
--- a/jobs/leader/golden_test.go
+++ b/jobs/leader/golden_test.go
@@ -95,7 +95,7 @@
 		Fence:           3145729,
 		HeldMillis:      120,
 		LeaseMillis:     6000,
-		Start:           []assignment.Start{{RunID: goldenRun, Spec: "{}", Checkpoint: "checkpoint-4", Permit: "ticket-8"}},
+		Start:           []assignment.Start{{RunID: goldenRun, Spec: "{}", Checkpoint: "checkpoint-4", Permit: "ticket-8", Suspect: true}},
 		Stop:            []assignment.RunID{goldenRun},
 		StopUnlisted:    []assignment.RunID{goldenOther},
 		ZoneOpen:        true,
--- a/jobs/runner/starts.go
+++ b/jobs/runner/starts.go
@@ -34,6 +34,8 @@
 	generation int
 	// unavailable counts the attempts at which the worker was unavailable.
 	unavailable int
+	// confirmed is set if the worker has answered just before the attempt.
+	confirmed bool
 	// zoneLogged is set once it was logged that the start waits for a proof of the zone.
 	zoneLogged bool
 }
@@ -61,12 +63,16 @@
 func (r *Runner) start(ctx context.Context, s *pendingStart) {
 	for ctx.Err() == nil {
 		attempt := r.prepareStart(s)
-		if attempt.obsolete {
+		switch {
+		case attempt.obsolete:
 			return
-		}
-		if attempt.allowed && r.tryStart(ctx, s, attempt) {
+		case attempt.confirm && r.syncOnce(ctx, 0):
+			s.confirmed = true
+			continue
+		case attempt.allowed && r.tryStart(ctx, s, attempt):
 			return
 		}
+		s.confirmed = false
 		pause.For(ctx, attempt.wait)
 	}
 }
@@ -77,7 +83,9 @@
 	// incarnation is over.
 	obsolete bool
 	allowed  bool
-	order    Order
+	// confirm is set if the worker has to answer first.
+	confirm bool
+	order   Order
 	// until is the end of the lease by the worker's clock, in milliseconds.
 	until int64
 	// repeated is set if an earlier attempt may have been carried out.
@@ -90,8 +98,8 @@
 
 // prepareStart decides whether a start may be sent now. There must be a fence, a lease that is
 // not over, a recent enough proof that the zone is not cordoned, a leader that knows the
-// worker's capacity, no earlier attempt whose outcome is open, and no sync that may still let
-// the worker forget ends.
+// worker's capacity, no earlier attempt whose outcome is open, an answer of the worker just before if
+// the task is a suspect, and no sync that may still let the worker forget ends.
 func (r *Runner) prepareStart(s *pendingStart) startAttempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -111,6 +119,8 @@
 	attempt.allowed = fenced && leased && open && r.capacityCurrent(now) && resolved
 	switch {
 	case !attempt.allowed:
+	case s.Suspect && !s.confirmed:
+		attempt.allowed, attempt.confirm = false, true
 	case r.open.forget.open(now):
 		attempt.allowed = false
 		if !r.open.forget.unanswered(now) {
--- a/jobs/runner/starts_test.go
+++ b/jobs/runner/starts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -261,3 +262,47 @@
 		}
 	})
 }
+
+// TestSuspectOnGoneWorker: a start of a task under which workers have crashed is not sent to a worker
+// that has just gone, so it doesn't count as one more crash under the task. Others are sent as ever.
+//
+// The sync that the agent holds shows after up to 1.7 s that the worker is gone; a start meanwhile
+// got no answer, and the task was given up.
+func TestSuspectOnGoneWorker(t *testing.T) {
+	for _, suspect := range []bool{true, false} {
+		t.Run(fmt.Sprintf("suspect %v", suspect), func(t *testing.T) {
+			within(t, func(t *testing.T, a *agent) {
+				time.Sleep(time.Second)
+				a.worker.Crash(3 * time.Second)
+				start := assignment.Start{RunID: id(1), Suspect: suspect}
+				a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{start} })
+				time.Sleep(2 * time.Second)
+				a.leader.set(func(answer *assignment.Answer) { answer.Start = nil })
+				time.Sleep(2 * time.Second)
+				next, _ := a.worker.Beat()
+				a.runner.Heartbeat(t.Context(), next)
+				time.Sleep(time.Second)
+				ended := a.leader.last().EndedIncarnations
+				if len(ended) != 1 || !ended[0].Complete {
+					t.Fatalf("ended incarnations: %+v", ended)
+				}
+				if blamed := len(ended[0].Runs) > 0; blamed == suspect {
+					t.Errorf("the run may have been there: %v, want %v", blamed, !suspect)
+				}
+			})
+		})
+	}
+}
+
+// TestSuspectStarts: a start of a suspect is sent once its worker has answered.
+func TestSuspectStarts(t *testing.T) {
+	within(t, func(t *testing.T, a *agent) {
+		a.leader.set(func(answer *assignment.Answer) {
+			answer.Start = []assignment.Start{{RunID: id(1), Suspect: true}}
+		})
+		time.Sleep(500 * time.Millisecond)
+		if a.workers.Starts != 1 {
+			t.Errorf("%d runs started, want 1", a.workers.Starts)
+		}
+	})
+}
