--- a/jobs/jobtest/provoked_test.go
+++ b/jobs/jobtest/provoked_test.go
@@ -32,12 +32,17 @@
 	})
 }
 
-// provokedFor is how long workers and processes are disturbed on a provoked day.
-const provokedFor = 25 * time.Second
+const (
+	// provokedFor is how long workers and processes are disturbed on a provoked day.
+	provokedFor = 25 * time.Second
+	// lastFault bounds how long the last disturbance goes on.
+	lastFault = 3 * time.Second
+)
 
 // provoke disturbs one worker after the other: most orders to it are late, its process crashes, and
 // in half of the cases it is out of reach then.
 func provoke(s *system, seed uint64) {
+	s.faultsUntil = time.Now().Add(provokedFor + lastFault)
 	restarting, stop := context.WithCancel(s.ctx)
 	go s.restartWorkers(restarting, rand.New(rand.NewPCG(seed, 4)))
 	r := rand.New(rand.NewPCG(seed, 9))
--- a/jobs/jobtest/rig_test.go
+++ b/jobs/jobtest/rig_test.go
@@ -81,6 +81,8 @@
 	// lasting are the long-running jobs, which run until they are cancelled.
 	lasting []*job.Job
 	number  int
+	// faultsUntil is when the faults that a test injects beside play's own are over.
+	faultsUntil time.Time
 	// readers is the number of entries by which reads of the log are paced.
 	readers int
 }
--- a/jobs/jobtest/system_test.go
+++ b/jobs/jobtest/system_test.go
@@ -27,6 +27,7 @@
 		time.Sleep(time.Duration(s.random.IntN(1200)) * time.Millisecond)
 	}
 	time.Sleep(7 * time.Second)
+	time.Sleep(time.Until(s.faultsUntil))
 	s.heal()
 	for _, w := range s.worker {
 		w.Heal()
