--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -150,29 +148,21 @@
 	return l, nil
 }
 
-// Ports of a process, at an IP address of its own.
-const (
-	internalPort = 7000 + iota
-	callersPort
-	readyPort
-	heartbeatsPort
-)
-
-// boxes counts the boxes that this process has started.
-var boxes atomic.Int64
-
-// nextIP returns a loopback address for a box, so that no other process takes its ports: a network
-// of 127.0.0.0/8 for each soak process, and in it one address after the other.
-func nextIP() string {
-	const perNetwork = 250
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 16+pid/perNetwork%200, pid%perNetwork, 1+boxes.Add(1)%perNetwork)
+// newIP returns a loopback address for a box, which is its own until close.
+func (c *cluster) newIP() (string, error) {
+	ip, claim, err := claimIP()
+	if err != nil {
+		return "", err
+	}
+	c.closers = append(c.closers, func() { claim.Close() })
+	return ip, nil
 }
 
-func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
-
 func (c *cluster) addEntry(i int) (err error) {
-	ip := nextIP()
+	ip, err := c.newIP()
+	if err != nil {
+		return err
+	}
 	b := &box{name: fmt.Sprintf("entry-%d", i), callers: at(ip, callersPort)}
 	if b.inbound, err = c.link(at(ip, internalPort)); err != nil {
 		return err
@@ -189,7 +179,10 @@
 }
 
 func (c *cluster) addAgent(ctx context.Context, i int) error {
-	ip := nextIP()
+	ip, err := c.newIP()
+	if err != nil {
+		return err
+	}
 	name := fmt.Sprintf("worker-%d", i)
 	w := c.platform.Workers.Add(name, service, zoneOf(i), fmt.Sprintf("rack-%d", i/rackSize), capacity, "a")
 	c.workers = append(c.workers, w)
--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -59,9 +58,6 @@
 	violations []string
 }
 
-// errNotUp means that the processes did not come up.
-var errNotUp = errors.New("the system does not serve after its start")
-
 // playDay plays one day.
 func playDay(ctx context.Context, s settings, seed uint64, logs string) (report, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -84,8 +80,8 @@
 		d.restarts = newRestarts(c, seed)
 	}
 	go d.standstill.watch(ctx)
-	if !d.servesWithin(ctx, startTimeout) {
-		return report{}, errNotUp
+	if err := d.awaitService(ctx, startTimeout); err != nil {
+		return report{}, err
 	}
 	d.play(ctx)
 	if err := c.heal(); err != nil {
@@ -100,23 +96,6 @@
 	d.violations = append(d.violations, fmt.Sprintf(format, args...))
 }
 
-// servesWithin waits until all entries answer that they don't know some job.
-func (d *day) servesWithin(ctx context.Context, limit time.Duration) bool {
-	for began := time.Now(); time.Since(began) < limit && ctx.Err() == nil; time.Sleep(pollPause) {
-		ready := true
-		for i := range d.cluster.entries {
-			_, a := d.callers.caller(i, keptKey).State(ctx, prefix(0), noJob)
-			if a.Status < 400 || a.Status >= 500 {
-				ready = false
-			}
-		}
-		if ready {
-			return true
-		}
-	}
-	return false
-}
-
 // play lets callers and faults go on, side by side, for the length of the day.
 func (d *day) play(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Length)
--- a/cmd/soak/explain_test.go
+++ b/cmd/soak/explain_test.go
@@ -43,8 +43,8 @@
 	c.platform.Workers.FailureShare = 0
 	p.cluster, p.callers = c, newCallers(c, rand.New(rand.NewPCG(1, 1)), false)
 	d := &day{settings: small(), cluster: c, callers: p.callers}
-	if !d.servesWithin(ctx, startTimeout) {
-		t.Fatal(errNotUp)
+	if err := d.awaitService(ctx, startTimeout); err != nil {
+		t.Fatal(err)
 	}
 	return p
 }
