soak: what its narrowed checks still catch

TestStandstillHidesNoLoss: jobs get the time of a standstill and no more. Neither check was changed; a sum got a name.

--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -196,7 +196,7 @@
 			return
 		}
 		time.Sleep(pollPause)
-		if time.Since(began)-(d.standstill.length()-stood) >= settleTimeout {
+		if d.standstill.running(began, stood) >= settleTimeout {
 			return
 		}
 	}
--- a/cmd/soak/standstill.go
+++ b/cmd/soak/standstill.go
@@ -33,5 +33,10 @@
 	}
 }
 
+// running is how much of the time since a moment the machine ran; stood is length then.
+func (s *standstill) running(since time.Time, stood time.Duration) time.Duration {
+	return time.Since(since) - (s.length() - stood)
+}
+
 // length is for how long the machine stood still in all.
 func (s *standstill) length() time.Duration { return time.Duration(s.total.Load()) }
--- a/cmd/soak/standstill_test.go
+++ b/cmd/soak/standstill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -21,3 +22,23 @@
 		t.Errorf("it is %v, want 3m40s", got)
 	}
 }
+
+// TestStandstillHidesNoLoss: a standstill gives jobs the time that it took and no more, so a job that
+// never ends still counts as lost.
+func TestStandstillHidesNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &standstill{}
+		s.add(time.Minute)
+		began, stood := time.Now(), s.length()
+		time.Sleep(200*time.Second + settleTimeout - time.Second)
+		s.add(200 * time.Second)
+		if running := s.running(began, stood); running >= settleTimeout {
+			t.Errorf("after a standstill of 200 s jobs had %v, and want %v", running, settleTimeout)
+		}
+		time.Sleep(time.Second)
+		s.add(standstillAfter - time.Millisecond)
+		if running := s.running(began, stood); running < settleTimeout {
+			t.Errorf("they had %v, and would be waited for longer than %v", running, settleTimeout)
+		}
+	})
+}
