A late start is awaited also where the leader and the agent are new

Cause, shown by TestLateStart's new case: the agent that had sent the start was killed, and so was the leader that had heard it. The new leader took starts of a former agent for open only where it had heard that agent itself, and the new agent knows of none. So the task was placed elsewhere at once.

An agent tells how long its process has run while an earlier one's starts may be open (agent_ms, for 20 s; left out after that, and by the version before, which doesn't read it). A leader that hears an agent first takes what is placed there for sent by a former agent, as it does where it has heard both, unless the worker has another instance since. A lost task then waits for up to 12 s from the agent's start.

TestLateStart fails without it ("1 late starts ran beside the next run"; it now counts late starts beside the next run in all its cases), and so does dispatch.TestNextLeaderHoldsForFormerAgent; three mutations.

--- a/jobs/assignment/assignment.go
+++ b/jobs/assignment/assignment.go
@@ -118,6 +118,10 @@
 // answer. The platform promises no bound, only that it is seconds.
 const MaxOrderDelay = 12 * time.Second
 
+// MaxOpenTime bounds how long a start is open that no agent tells of: the delay of an order, and the
+// longest lease of what it begins.
+const MaxOpenTime = MaxOrderDelay + 8*time.Second
+
 // OpenStart is a start that got no answer, or none yet. A later incarnation of the worker under
 // the same instance may still carry it out. Until it is closed, no other run of the task may
 // start elsewhere.
--- a/jobs/assignment/golden_test.go
+++ b/jobs/assignment/golden_test.go
@@ -37,6 +37,7 @@
 		ClosingIncarnations: []incarnation.ID{goldenLife, {Instance: "i-1"}},
 		OpenStarts:          []OpenStart{goldenOpenStart},
 		NoStartsMillis:      11300,
+		AgentMillis:         1850,
 		Unresponsive:        true,
 		FailingMillis:       1600,
 		AckedEnd:            57,
--- a/jobs/assignment/poll.go
+++ b/jobs/assignment/poll.go
@@ -1,6 +1,8 @@
 package assignment
 
 import (
+	"time"
+
 	"yarrowgrade.example/yarrowgrade/jobs/incarnation"
 )
 
@@ -9,6 +11,9 @@
 	// Worker is the name of the agent's box, Agent that of this start of the agent's process.
 	Worker string `json:"worker"`
 	Agent  string `json:"agent"`
+	// AgentMillis is how long the agent's process has run, while that is so short that starts which
+	// an earlier process has sent may still be carried out; zero after that, and if it is unknown.
+	AgentMillis int64 `json:"agent_ms,omitempty"`
 	// Sequence rises with the agent's polls.
 	Sequence int64 `json:"seq"`
 	// Term is the highest that the agent knows.
@@ -45,6 +50,9 @@
 	Delta *Delta `json:"since,omitempty"`
 }
 
+// AgentAge is AgentMillis as a duration.
+func (p Poll) AgentAge() time.Duration { return time.Duration(p.AgentMillis) * time.Millisecond }
+
 // Delta is the progress of the runs since an earlier poll of the same agent that described the
 // worker. All else is as it was.
 type Delta struct {
--- a/jobs/dispatch/open_starts.go
+++ b/jobs/dispatch/open_starts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
+	"yarrowgrade.example/yarrowgrade/jobs/incarnation"
 	"yarrowgrade.example/yarrowgrade/jobs/job"
 )
 
@@ -13,23 +14,27 @@
 // otherwise than done waits until its starts are closed, or until the later incarnation lists
 // the run, which is placed there then (adoptRun).
 
-// openStartLimit bounds how long a start is open that no agent tells of: the delay of an order, and
-// the longest lease of what it begins.
-const openStartLimit = assignment.MaxOrderDelay + 8*time.Second
+// openStartLimit bounds how long a start is open that no agent tells of.
+const openStartLimit = assignment.MaxOpenTime
 
 // formerAgent is the agent of a worker before the present one, which took what it knew of open
 // starts with it.
 type formerAgent struct {
-	// replacedAt is when the present agent was first heard.
+	// replacedAt is when the present agent was first heard, or when it began to run if this leader
+	// has not heard the former one.
 	replacedAt time.Time
-	// starts are those that may be open.
-	starts map[assignment.RunID]bool
+	// starts are those that may be open, with the incarnations to which they were sent.
+	starts map[assignment.RunID]incarnation.ID
 }
 
 // applyOpenStarts takes over which starts on a worker are open.
 func (c *Controller) applyOpenStarts(now time.Time, w *worker, poll assignment.Poll) {
-	if w.agent != "" && w.agent != poll.Agent {
+	switch {
+	case w.agent != "" && w.agent != poll.Agent:
 		c.replaceAgent(now, w)
+	case w.agent == "" && poll.AgentMillis > 0:
+		// An earlier leader has heard the former agent, if any.
+		c.replaceAgent(now.Add(-poll.AgentAge()), w)
 	}
 	w.agent = poll.Agent
 	before := w.openStarts
@@ -48,18 +53,22 @@
 	}
 }
 
-// replaceAgent notes that a worker has a new agent. The former one may have sent starts for all
-// that is placed there.
-func (c *Controller) replaceAgent(now time.Time, w *worker) {
-	w.former = formerAgent{replacedAt: now, starts: map[assignment.RunID]bool{}}
+// replaceAgent notes that a worker has had a new agent since a time. The former one may have sent
+// starts for all that is placed there.
+func (c *Controller) replaceAgent(at time.Time, w *worker) {
+	w.former = formerAgent{replacedAt: at, starts: map[assignment.RunID]incarnation.ID{}}
+	var sentTo incarnation.ID
+	if w.state != nil {
+		sentTo = w.state.ID
+	}
 	for id := range w.openStarts {
-		w.former.starts[id] = true
+		w.former.starts[id] = sentTo
 	}
 	for _, t := range c.active {
 		t.progress.Placed(t.job.ID, func(name job.TaskName, placed *job.Task) {
 			if placed.Worker == w.name && placed.Incarnation.StartMillis != 0 {
 				if id := (assignment.RunID{Task: name, Run: placed.Run}); !t.isUnsent(id) {
-					w.former.starts[id] = true
+					w.former.starts[id] = placed.Incarnation
 				}
 			}
 		})
@@ -71,11 +80,14 @@
 func (w *worker) carryFormerStarts(now time.Time, poll assignment.Poll) {
 	listed := poll.Complete && !poll.Unresponsive && poll.FailingMillis == 0
 	delayed := now.Sub(w.former.replacedAt) <= assignment.MaxOrderDelay
-	replaced := w.state != nil && poll.State != nil && !w.state.ID.SharesInstance(poll.State.ID)
-	if listed && !delayed || replaced || now.Sub(w.former.replacedAt) > openStartLimit {
+	if listed && !delayed || now.Sub(w.former.replacedAt) > openStartLimit {
 		w.former.starts = nil
 	}
-	for id := range w.former.starts {
+	for id, sentTo := range w.former.starts {
+		if poll.State != nil && !sentTo.IsZero() && !sentTo.SharesInstance(poll.State.ID) {
+			delete(w.former.starts, id)
+			continue
+		}
 		if _, known := w.openStarts[id]; !known {
 			w.openStarts[id] = w.former.replacedAt.Add(openStartLimit)
 		}
--- a/jobs/dispatch/open_starts_test.go
+++ b/jobs/dispatch/open_starts_test.go
@@ -178,3 +178,55 @@
 	b.control.ApplyJob(jobstore.StoredJob{ID: t.job.ID, Submission: submission, Progress: progress})
 	return b.control.jobs[t.job.ID]
 }
+
+// TestNextLeaderHoldsForFormerAgent: where a worker has a new agent that the next leader hears first,
+// a task that was placed there waits for the starts that the former agent may have sent.
+//
+// Neither knew of the open start: the task started elsewhere at once, and the late start ran beside it.
+func TestNextLeaderHoldsForFormerAgent(t *testing.T) {
+	const age = 2 * time.Second
+	tests := []struct {
+		name string
+		// age is what the agent tells; instance is that of the worker's next incarnation, if it has
+		// another one.
+		age      time.Duration
+		instance string
+		held     bool
+	}{
+		{"a new agent", age, "", true},
+		{"an agent of the version before, which does not tell its age", 0, "", false},
+		{"the worker has another instance", age, "other", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newFixture(t, 1, 2)
+			j := b.job(1, "other", job.Step{Tasks: 1})
+			b.plan(0)
+			_, id, poll := b.reported(j)
+			next := newFixture(t, 1, 2)
+			task := next.reopen(j).progress.Task(id.Task)
+			poll.Agent, poll.State, poll.AgentMillis = "agent/2", restarted(poll.State), test.age.Milliseconds()
+			if test.instance != "" {
+				poll.State.ID.Instance = test.instance
+			}
+			next.control.ApplyPoll(next.now, poll)
+			next.plan(0)
+			if held := !task.Placed(); held != test.held {
+				t.Fatalf("the task waits: %v, want %v", held, test.held)
+			}
+			next.control.ApplyPoll(next.now, poll)
+			next.plan(assignment.MaxOrderDelay - age - time.Second)
+			next.control.ApplyPoll(next.now, poll)
+			next.plan(0)
+			if held := !task.Placed(); held != test.held {
+				t.Errorf("the task waits until a second before the last order may come: %v, want %v", held, test.held)
+			}
+			next.plan(2 * time.Second)
+			next.control.ApplyPoll(next.now, poll)
+			next.plan(0)
+			if !task.Placed() {
+				t.Error("the task waits after the last order of the former agent may have come")
+			}
+		})
+	}
+}
--- a/jobs/jobtest/late_starts_test.go
+++ b/jobs/jobtest/late_starts_test.go
@@ -30,12 +30,9 @@
 			go s.restart(s.agents[w], func() { s.startAgent(w) }, 300*time.Millisecond)
 		}},
 		{"the leader is killed too", false, 9 * time.Second, func(s *system, _ int) {
-			for i, e := range s.entries {
-				if e == s.leader() {
-					go s.restart(e, func() { s.startEntry(i) }, time.Second)
-				}
-			}
+			s.killLeader(time.Second)
 		}},
+		{"the leader and the agent are killed too, and the worker crashes again", false, 2900 * time.Millisecond, (*system).killAllWhoKnow},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -57,11 +54,28 @@
 				if phase := s.phase(j.ID); phase != job.Completed {
 					t.Errorf("the job is %v, want completed", phase)
 				}
+				if s.workers.Strays > 0 {
+					t.Errorf("%d late starts ran beside the next run", s.workers.Strays)
+				}
 			})
 		})
 	}
 }
 
+// killAllWhoKnow kills the leader and the agent of a worker, so that those who follow have not seen
+// the start that is under way. The worker's next incarnation has seen their fence by the time that
+// the late start comes, so it crashes once more; its zone is cordoned, so the next run is elsewhere.
+func (s *system) killAllWhoKnow(w int) {
+	s.cordon(zoneOf(w))
+	s.killLeader(time.Second)
+	go s.restart(s.agents[w], func() { s.startAgent(w) }, 2*time.Second)
+	time.AfterFunc(3400*time.Millisecond, func() {
+		s.worker[w].CrashProcess(100 * time.Millisecond)
+		s.worker[w].SetUnreachable(true)
+	})
+	time.AfterFunc(10*time.Second, func() { s.worker[w].SetUnreachable(false) })
+}
+
 // submitDelayed submits a job of one task, of which the first start gets no answer and is carried
 // out after a delay, and returns the worker of that start.
 func (s *system) submitDelayed(j *job.Job, delay time.Duration) (worker int) {
--- a/jobs/leader/golden_test.go
+++ b/jobs/leader/golden_test.go
@@ -77,6 +77,7 @@
 		ClosingIncarnations: []incarnation.ID{{Instance: "i-0", StartMillis: 1764722700000}},
 		OpenStarts:          []assignment.OpenStart{{RunID: goldenOther, OpenMillis: 17400}},
 		NoStartsMillis:      11300,
+		AgentMillis:         1850,
 		Unresponsive:        true,
 		FailingMillis:       350,
 		AckedEnd:            5,
--- a/jobs/runner/poll.go
+++ b/jobs/runner/poll.go
@@ -66,6 +66,7 @@
 	p := assignment.Poll{
 		Worker:        r.settings.Name,
 		Agent:         r.settings.Agent,
+		AgentMillis:   r.ageMillis(now),
 		Sequence:      r.polls.sequence,
 		Term:          r.leader.term,
 		Fence:         r.leader.fence,
@@ -95,3 +96,13 @@
 	}
 	return r.shorten(p), r.generation
 }
+
+// ageMillis is how long this process has run, in milliseconds and at least one, while a start that an
+// earlier one has sent may be open; zero after that.
+func (r *Runner) ageMillis(now time.Time) int64 {
+	age := now.Sub(r.startedAt)
+	if age >= assignment.MaxOpenTime {
+		return 0
+	}
+	return max(age.Milliseconds(), 1)
+}
--- a/jobs/runner/runner.go
+++ b/jobs/runner/runner.go
@@ -80,6 +80,7 @@
 	settings     Settings
 	dependencies Dependencies
 	metrics      metrics
+	startedAt    time.Time
 
 	// mu guards the fields up to the channels.
 	mu sync.Mutex
@@ -112,6 +113,7 @@
 		settings:     s,
 		dependencies: d,
 		metrics:      newMetrics(d.Metrics),
+		startedAt:    time.Now(),
 		generation:   1,
 		present:      newIncarnationState(),
 		former:       newFormerIncarnations(),
