--- a/cmd/soak/standstill.go
+++ b/cmd/soak/standstill.go
@@ -38,5 +38,5 @@
 	return time.Since(since) - (s.length() - stood)
 }
 
-// length is for how long the machine stood still in all.
+// length is how long the machine stood still in all.
 func (s *standstill) length() time.Duration { return time.Duration(s.total.Load()) }
--- a/jobs/assignment/assignment.go
+++ b/jobs/assignment/assignment.go
@@ -127,7 +127,7 @@
 // start elsewhere.
 type OpenStart struct {
 	RunID
-	// OpenMillis is for how long what it may begin can go on without being listed.
+	// OpenMillis is how long what it may begin can go on without being listed.
 	OpenMillis int64 `json:"ms"`
 }
 
--- a/jobs/assignment/poll.go
+++ b/jobs/assignment/poll.go
@@ -39,7 +39,7 @@
 	FailingMillis int64 `json:"failing_ms,omitempty"`
 	// OpenStarts are the starts that may still be carried out by a later incarnation.
 	OpenStarts []OpenStart `json:"open_starts,omitempty"`
-	// NoStartsMillis is for how long the worker gets no starts, since a call that lets it forget
+	// NoStartsMillis is how long the worker gets no starts, since a call that lets it forget
 	// ends may still be carried out by a later incarnation; zero if it gets them.
 	NoStartsMillis int64 `json:"no_starts_ms,omitempty"`
 	// AckedEnd is up to which end the leader has acknowledged them to the agent.
--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -218,7 +218,7 @@
 	return j.FirstRound.Add(time.Duration(k) * j.RoundInterval)
 }
 
-// RoundStart is from when on round k may run: when it is due, or when the job was accepted.
+// RoundStart is when round k may begin to run: when it is due, or when the job was accepted.
 func (j *Job) RoundStart(k int) time.Time {
 	if j.RoundCount == 0 {
 		return j.Accepted
--- a/jobs/jobtest/worker.go
+++ b/jobs/jobtest/worker.go
@@ -68,7 +68,7 @@
 
 var _ runner.Worker = (*Worker)(nil)
 
-// startIncarnation starts the worker anew, without runs, lease or fence. The lock must be held.
+// startIncarnation begins the next incarnation of the worker, without runs, lease or fence. The lock must be held.
 func (w *Worker) startIncarnation() {
 	w.state.ID = w.nextID()
 	w.state.Draining, w.state.DrainMillis = false, 0
--- a/jobs/leader/fleet.go
+++ b/jobs/leader/fleet.go
@@ -135,7 +135,7 @@
 	return sent
 }
 
-// publish acknowledges the polls that were taken and puts in force what is desired anew; all of
+// publish acknowledges the polls that were taken and puts in force what is desired now; all of
 // it must be stored. It wakes only the held polls that this concerns: waking all at each decision
 // would be work that grows with the square of the workers.
 func (f *fleet) publish(changed map[string]dispatch.DesiredState) {
--- a/jobs/leader/leadership.go
+++ b/jobs/leader/leadership.go
@@ -87,6 +87,7 @@
 // that this took without the append.
 func (l *leadership) decide(ctx context.Context) (worked time.Duration, err error) {
 	now := time.Now()
+	// What polls and expired leases end may have been sent until they were taken.
 	polls := l.fleet.take()
 	l.controller.NoteSent(l.fleet.takeSent())
 	for _, p := range polls {
