--- a/jobs/jobtest/provoked_test.go
+++ b/jobs/jobtest/provoked_test.go
@@ -80,12 +80,3 @@
 	}()
 	time.AfterFunc(provokedFor, stop)
 }
-
-// killLeader kills the entry that leads, if one does at present, and restarts it after the time.
-func (s *system) killLeader(away time.Duration) {
-	for i, e := range s.entries {
-		if leader, _, _ := e.replica.Leader(); leader.Address == e.name {
-			go s.restart(e, func() { s.startEntry(i) }, away)
-		}
-	}
-}
--- a/jobs/jobtest/recovery_test.go
+++ b/jobs/jobtest/recovery_test.go
@@ -47,6 +47,15 @@
 	return nil
 }
 
+// killLeader kills the entry that leads, if one does at present, and restarts it after the time.
+func (s *system) killLeader(away time.Duration) {
+	for i, e := range s.entries {
+		if leader, _, _ := e.replica.Leader(); leader.Address == e.name {
+			go s.restart(e, func() { s.startEntry(i) }, away)
+		}
+	}
+}
+
 // simpleJob returns a job of independent tasks.
 func (s *system) simpleJob(tasks int, estimate time.Duration) *job.Job {
 	s.number++
