A worker that refuses an agent's fence is not taken for silent

Cause: runner.applySync took a refusal for the fence for a sync without an answer. Of two live processes of one agent, the one whose fence is lower had each sync refused, took the worker for unresponsive, and said after its own lease that its runs were over, while the other process extended them.

Change: such a refusal is contact with the worker.

--- a/jobs/runner/contact.go
+++ b/jobs/runner/contact.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -21,12 +22,20 @@
 	lastAnswer time.Time
 	// failingSince is since when syncs get no answer; zero while they do.
 	failingSince time.Time
+	// fencedSince is since when the worker refuses the present fence; zero while it doesn't.
+	fencedSince time.Time
 }
 
 // unresponsive reports whether the worker has given no answer for too long to extend anything
 // on it.
 func (c contact) unresponsive(now time.Time) bool { return now.Sub(c.lastAnswer) > unresponsiveAfter }
 
+// fencedOff reports whether the worker has refused the present fence for too long to extend anything
+// on it. What another process may extend there is not over, so nothing is given up for it.
+func (c contact) fencedOff(now time.Time) bool {
+	return !c.fencedSince.IsZero() && now.Sub(c.fencedSince) > unresponsiveAfter
+}
+
 // last is until when the worker surely was there: a sync that it holds fails as it goes.
 func (c contact) last() time.Time {
 	if c.failingSince.IsZero() {
@@ -55,15 +64,37 @@
 // at is the worker's clock at a time, in milliseconds.
 func (c workerClock) at(t time.Time) int64 { return c.reading + t.Sub(c.readAt).Milliseconds() }
 
-// noteAnswer takes over the clock of an answer to a call. An answer of another incarnation
-// doesn't count as contact with the present one: a worker that crashed before its drain was
-// over would seem to have drained. The lock must be held.
-func (r *Runner) noteAnswer(clock int64, err error) {
-	if !errors.Is(err, ErrOtherIncarnation) {
+// noteAnswer takes over the answer to an order: the clock, and a refusal for the fence. An answer of
+// another incarnation doesn't count as contact with the present one: a worker that crashed before
+// its drain was over would seem to have drained. The lock must be held.
+func (r *Runner) noteAnswer(order Order, clock int64, err error) {
+	switch {
+	case errors.Is(err, ErrOtherIncarnation):
+	case errors.Is(err, ErrFenced):
+		r.noteFenced(order, clock)
+	default:
 		r.noteClock(clock)
 	}
 }
 
+// noteFenced notes that the worker has refused an order, since it has seen a higher fence. It is
+// there, and obeys another process: its lease may be extended, and nothing on it is over. An order
+// that was only overtaken by one with a newer fence says nothing. The lock must be held.
+func (r *Runner) noteFenced(order Order, clock int64) {
+	since := r.present.contact.fencedSince
+	r.noteClock(clock)
+	r.present.contact.lastAnswer = time.Now()
+	if r.worker == nil || order.Fence != r.orderFence() {
+		return
+	}
+	r.present.contact.fencedSince = cmp.Or(since, time.Now())
+	if !since.IsZero() {
+		return
+	}
+	r.dependencies.Logger.Warn().Str("step", "runner.fenced").Stringer("life", r.worker.ID).
+		Int64("fence", r.leader.fence).Msg("worker has seen a higher fence")
+}
+
 // noteClock takes over a reading of the worker's clock, in milliseconds. The lock must be held.
 func (r *Runner) noteClock(clock int64) {
 	if clock <= 0 {
--- a/jobs/runner/poll.go
+++ b/jobs/runner/poll.go
@@ -73,7 +73,7 @@
 		Complete:      r.present.complete,
 		AckedEnd:      r.present.ends.acked,
 		Wait:          wait,
-		Unresponsive:  r.worker != nil && r.present.contact.unresponsive(now),
+		Unresponsive:  r.worker != nil && (r.present.contact.unresponsive(now) || r.present.contact.fencedOff(now)),
 		FailingMillis: r.present.contact.failingMillis(),
 	}
 	p.OpenStarts = r.openStarts(now)
--- a/jobs/runner/starts.go
+++ b/jobs/runner/starts.go
@@ -186,7 +186,7 @@
 	if !attempt.repeated && notApplied(err) {
 		k.ordered = false
 	}
-	r.noteAnswer(clock, err)
+	r.noteAnswer(attempt.order, clock, err)
 	r.dependencies.Logger.Info().Str("step", "runner.start").Stringer("task", s.Task).Int("run", s.Run).Err(err).
 		Msg("start ordered")
 	return r.applyStart(ctx, s, k, err)
--- a/jobs/runner/stops.go
+++ b/jobs/runner/stops.go
@@ -101,7 +101,7 @@
 	clock, err := r.dependencies.Worker.Stop(call, order, s.RunID)
 	cancel()
 	r.metrics.stops.Inc(outcomeOf(err))
-	if !r.applyStop(s, clock, err) {
+	if !r.applyStop(s, order, clock, err) {
 		return true
 	}
 	return err == nil && r.confirmStop(ctx, s)
@@ -109,13 +109,13 @@
 
 // applyStop applies the answer to a stop. It returns false if the incarnation was over before
 // it came.
-func (r *Runner) applyStop(s pendingStop, clock int64, err error) bool {
+func (r *Runner) applyStop(s pendingStop, order Order, clock int64, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.generation != r.generation {
 		return false
 	}
-	r.noteAnswer(clock, err)
+	r.noteAnswer(order, clock, err)
 	r.dependencies.Logger.Info().Str("step", "runner.stop").Stringer("task", s.Task).Int("run", s.Run).Err(err).
 		Msg("stop ordered")
 	if errors.Is(err, ErrOtherIncarnation) {
--- a/jobs/runner/sync.go
+++ b/jobs/runner/sync.go
@@ -136,6 +136,9 @@
 	case errors.Is(err, ErrOtherIncarnation):
 		r.endIncarnation(err)
 		return false
+	case errors.Is(err, ErrFenced):
+		r.noteFenced(call.order, clock)
+		return false
 	case err != nil:
 		r.noteFailing(err)
 		r.abandonRuns(time.Now())
--- a/jobs/runner/throttle.go
+++ b/jobs/runner/throttle.go
@@ -154,7 +154,7 @@
 	if generation != r.generation {
 		return
 	}
-	r.noteAnswer(clock, err)
+	r.noteAnswer(order, clock, err)
 	r.dependencies.Logger.Info().Str("step", "runner.pace").Stringer("task", id.Task).Int("run", id.Run).
 		Int("percent", percent).Err(err).Msg("speed ordered")
 	if err == nil {
