An offered fence is not used, and a refused one is raised

Cause: an agent took each fence in an answer for its own, also one that the leader only offered. The one that was offered it was never heard, but the worker had seen its fence and refused the one that was, for as long as the leader led.

Change: an offer says so (offer), and the agent's orders carry the fence only once it is heard. An agent that is heard and refused tells the leader (refused_fence), which gives it a higher one.

--- a/jobs/assignment/answer.go
+++ b/jobs/assignment/answer.go
@@ -11,6 +11,9 @@
 	Term int64 `json:"term"`
 	// Fence is what the agent's orders to its worker carry.
 	Fence int64 `json:"fence"`
+	// Offer is set if the leader does not hear this process of the agent yet: its next poll has to
+	// show the fence, and until an answer without Offer comes its orders don't carry it.
+	Offer bool `json:"offer,omitempty"`
 	// HeldMillis is how long the poll was held.
 	HeldMillis int64 `json:"held_ms"`
 	// LeaseMillis is how long after the answer runs may be kept alive; zero extends nothing.
--- a/jobs/assignment/golden_test.go
+++ b/jobs/assignment/golden_test.go
@@ -13,11 +13,12 @@
 	goldenLife = incarnation.ID{Instance: "i-7f3a91c2", StartMillis: 1764722812345}
 	goldenRun  = RunID{Task: job.TaskName{Job: "5c0e7a21d94b36f8", Round: 3, Step: 1, Index: 17}, Run: 2}
 	goldenPoll = Poll{
-		Worker:   "worker-1",
-		Agent:    "agent-1",
-		Sequence: 7,
-		Term:     4,
-		Fence:    4194309,
+		Worker:       "worker-1",
+		Agent:        "agent-1",
+		Sequence:     7,
+		Term:         4,
+		Fence:        4194309,
+		RefusedFence: 4194309,
 		State: &WorkerState{
 			ID:          goldenLife,
 			Machine:     "m-1",
@@ -57,6 +58,7 @@
 	goldenAnswer = Answer{
 		Term:            4,
 		Fence:           65537,
+		Offer:           true,
 		HeldMillis:      300,
 		LeaseMillis:     6000,
 		Start:           []Start{{RunID: goldenRun, Spec: "spec", Checkpoint: "ckpt-9", Permit: "ticket", Suspect: true}},
--- a/jobs/assignment/poll.go
+++ b/jobs/assignment/poll.go
@@ -20,6 +20,9 @@
 	Term int64 `json:"term"`
 	// Fence is the highest that the agent has heard from a leader; zero if it has just started.
 	Fence int64 `json:"fence,omitempty"`
+	// RefusedFence is Fence if the worker refuses orders with it, as it has seen a higher one; zero
+	// otherwise.
+	RefusedFence int64 `json:"refused_fence,omitempty"`
 	// State is the worker's; nil while no incarnation is known.
 	State *WorkerState `json:"life,omitempty"`
 	// Complete is set if Runs and Ends are what the worker listed under the newest fence.
--- a/jobs/leader/golden_test.go
+++ b/jobs/leader/golden_test.go
@@ -50,14 +50,15 @@
 
 func goldenPoll() assignment.Poll {
 	return assignment.Poll{
-		Worker:   "worker-1",
-		Agent:    "agent-1/7",
-		Sequence: 12,
-		Term:     3,
-		Fence:    3145729,
-		State:    goldenPresent(),
-		Complete: true,
-		Runs:     []assignment.Run{{RunID: goldenRun, Percent: 40, AgeMillis: 1500, ListedMillis: 1400}},
+		Worker:       "worker-1",
+		Agent:        "agent-1/7",
+		Sequence:     12,
+		Term:         3,
+		Fence:        3145729,
+		RefusedFence: 3145728,
+		State:        goldenPresent(),
+		Complete:     true,
+		Runs:         []assignment.Run{{RunID: goldenRun, Percent: 40, AgeMillis: 1500, ListedMillis: 1400}},
 		Ends: []assignment.End{{
 			RunID:      goldenOther,
 			Number:     6,
@@ -94,6 +95,7 @@
 	goldentest.JSON(t, "answer", assignment.Answer{
 		Term:            3,
 		Fence:           3145729,
+		Offer:           true,
 		HeldMillis:      120,
 		LeaseMillis:     6000,
 		Start:           []assignment.Start{{RunID: goldenRun, Spec: "{}", Checkpoint: "checkpoint-4", Permit: "ticket-8", Suspect: true}},
--- a/jobs/leader/poll.go
+++ b/jobs/leader/poll.go
@@ -114,6 +114,9 @@
 		return errOldFence
 	}
 	session.heardAt = f.lastPoll
+	if poll.RefusedFence != 0 && poll.RefusedFence == session.fence {
+		f.raiseFence(w, poll)
+	}
 	return nil
 }
 
@@ -126,6 +129,16 @@
 	w.wake()
 }
 
+// raiseFence gives the process that is heard a fence above all others, since its worker has seen a
+// higher one than that of its session and refuses its orders. f.mu must be held.
+func (f *fleet) raiseFence(w *worker, poll assignment.Poll) {
+	w.agent.fence = f.nextFence()
+	f.logger.Warn().Str("step", "leader.session").Str("worker", poll.Worker).Str("agent", poll.Agent).
+		Int64("refused", poll.RefusedFence).Int64("fence", w.agent.fence).
+		Msg("worker refuses the fence of the agent that is heard; it gets a higher one")
+	w.wake()
+}
+
 // nextFence returns a fence above all others of this and earlier terms. f.mu must be held.
 func (f *fleet) nextFence() int64 {
 	f.fences++
@@ -147,7 +160,7 @@
 	if w.agent.offered.incarnation != poll.Agent {
 		w.agent.offered = offeredFence{incarnation: poll.Agent, fence: f.nextFence()}
 	}
-	return assignment.Answer{Term: f.term, Fence: w.agent.offered.fence}, true
+	return assignment.Answer{Term: f.term, Fence: w.agent.offered.fence, Offer: true}, true
 }
 
 func (f *fleet) requestDecision() {
--- a/jobs/runner/answer.go
+++ b/jobs/runner/answer.go
@@ -18,6 +18,10 @@
 		return
 	}
 	r.applyTerm(a)
+	if a.Offer {
+		return
+	}
+	r.applyFence(a.Fence)
 	maps.DeleteFunc(r.former.unacked, func(_ incarnation.ID, e endedIncarnation) bool { return e.ackedBy(a.AckedPoll) })
 	r.applyLease(a, sent)
 	if generation == r.generation && a.ZoneOpen {
@@ -32,8 +36,8 @@
 	r.applyOrders(ctx, a)
 }
 
-// applyTerm follows the leader of a term, and takes over its fence and what it has of the
-// polls. The lock must be held.
+// applyTerm follows the leader of a term, and takes over what it has of the polls and the fence
+// that it offers. The lock must be held.
 func (r *Runner) applyTerm(a assignment.Answer) {
 	if a.Term > r.leader.term {
 		r.dependencies.Logger.Info().Str("step", "runner.obey").Int64("term", a.Term).Int64("fence", a.Fence).
@@ -43,10 +47,16 @@
 	}
 	r.present.capacity.ackedPoll = max(r.present.capacity.ackedPoll, a.AckedPoll)
 	r.polls.base = a.BasePoll
-	if a.Fence > r.leader.fence {
-		// Until the worker has seen the fence, a former leader's orders may still change what
-		// it runs.
-		r.leader.fence, r.present.complete = a.Fence, false
+	if a.Offer {
+		r.leader.offered = max(r.leader.offered, a.Fence)
+	}
+}
+
+// applyFence takes over the fence of a session. Until the worker has seen it, orders with lower
+// ones may still change what it runs. The lock must be held.
+func (r *Runner) applyFence(fence int64) {
+	if fence > r.leader.fence {
+		r.leader.fence, r.present.complete = fence, false
 		signal(r.extend)
 	}
 }
--- a/jobs/runner/contact.go
+++ b/jobs/runner/contact.go
@@ -78,8 +78,8 @@
 }
 
 // noteFenced notes that the worker has refused an order, since it has seen a higher fence. It is
-// there, and obeys another process: its lease may be extended, and nothing on it is over. An order
-// that was only overtaken by one with a newer fence says nothing. The lock must be held.
+// there, and obeys another process: its lease may be extended, and nothing on it is over. The leader
+// is told unless the order was only overtaken by one with a newer fence. The lock must be held.
 func (r *Runner) noteFenced(order Order, clock int64) {
 	since := r.present.contact.fencedSince
 	r.noteClock(clock)
@@ -88,11 +88,13 @@
 		return
 	}
 	r.present.contact.fencedSince = cmp.Or(since, time.Now())
-	if !since.IsZero() {
+	if r.leader.refused == r.leader.fence {
 		return
 	}
+	r.leader.refused = r.leader.fence
+	signal(r.report)
 	r.dependencies.Logger.Warn().Str("step", "runner.fenced").Stringer("life", r.worker.ID).
-		Int64("fence", r.leader.fence).Msg("worker has seen a higher fence")
+		Int64("fence", r.leader.fence).Msg("worker has seen a higher fence; the leader is told")
 }
 
 // noteClock takes over a reading of the worker's clock, in milliseconds. The lock must be held.
--- a/jobs/runner/delta.go
+++ b/jobs/runner/delta.go
@@ -81,5 +81,5 @@
 // failures.
 func uneventful(p assignment.Poll) bool {
 	events := len(p.Ends) + len(p.Refused) + len(p.EndedIncarnations) + len(p.ClosingIncarnations) + len(p.OpenStarts)
-	return events == 0 && !p.Unresponsive && p.FailingMillis == 0 && p.NoStartsMillis == 0
+	return events == 0 && !p.Unresponsive && p.FailingMillis == 0 && p.RefusedFence == 0 && p.NoStartsMillis == 0
 }
--- a/jobs/runner/incarnations.go
+++ b/jobs/runner/incarnations.go
@@ -108,7 +108,7 @@
 // needsList reports whether the end of a former incarnation has to wait for the list of the
 // present one. The lock must be held.
 func (r *Runner) needsList(former incarnation.ID) bool {
-	return !r.present.complete && r.worker != nil && r.worker.ID.SharesInstance(former)
+	return !r.described() && r.worker != nil && r.worker.ID.SharesInstance(former)
 }
 
 // errDrained is why the incarnation ends of a worker that has deregistered.
--- a/jobs/runner/lease.go
+++ b/jobs/runner/lease.go
@@ -10,6 +10,10 @@
 type leadership struct {
 	term  int64
 	fence int64
+	// offered is the newest fence that a leader has offered without hearing this process yet.
+	offered int64
+	// refused is the fence that the worker has refused, since it has seen a higher one.
+	refused int64
 	// leaseUntil is the end of the lease that the leader granted.
 	leaseUntil suspend.Instant
 }
--- a/jobs/runner/poll.go
+++ b/jobs/runner/poll.go
@@ -69,8 +69,8 @@
 		AgentMillis:   r.ageMillis(now),
 		Sequence:      r.polls.sequence,
 		Term:          r.leader.term,
-		Fence:         r.leader.fence,
-		Complete:      r.present.complete,
+		Fence:         max(r.leader.fence, r.leader.offered),
+		Complete:      r.described(),
 		AckedEnd:      r.present.ends.acked,
 		Wait:          wait,
 		Unresponsive:  r.worker != nil && (r.present.contact.unresponsive(now) || r.present.contact.fencedOff(now)),
@@ -86,7 +86,10 @@
 		state := *r.worker
 		p.State = &state
 	}
-	if !r.present.complete {
+	if r.leader.refused == r.leader.fence {
+		p.RefusedFence = r.leader.refused
+	}
+	if !p.Complete {
 		return p, r.generation
 	}
 	p.Runs = r.present.runs.report(now)
@@ -97,6 +100,10 @@
 	return r.shorten(p), r.generation
 }
 
+// described reports whether the worker has listed what it runs under the newest fence, so that polls
+// describe it. The lock must be held.
+func (r *Runner) described() bool { return r.present.complete && r.leader.offered <= r.leader.fence }
+
 // ageMillis is how long this process has run, in milliseconds and at least one, while a start that an
 // earlier one has sent may be open; zero after that.
 func (r *Runner) ageMillis(now time.Time) int64 {
