Of two live processes of an agent the newer is heard, and the older gives way

Cause: the leader kept one offered fence for each worker, and each poll of one process replaced the offer to the other, so that neither was heard and a sound worker's lease ended; and it had no rule which of the two is wanted, so each leader heard one, then the other.

The newer process is heard, by its fence and across terms; an older one is superseded while the newer polls, is told so (superseded), gives way, and comes back once the newer one has been silent for Timing.AgentTimeout.

--- a/jobs/assignment/assignment.go
+++ b/jobs/assignment/assignment.go
@@ -13,6 +13,9 @@
 // # Usage
 //
 //	POST /internal/assignments, Poll -> Answer (200) or Redirect (409)
+//
+// Of two live processes of one agent the leader hears the newer one. The other one is answered 409
+// with Superseded, and polls on without orders until the newer one is silent.
 package assignment
 
 import (
@@ -46,6 +49,9 @@
 	Address string `json:"address"`
 	// Self names this start of the entry that answers.
 	Self string `json:"self"`
+	// Superseded is set if the entry leads, and hears a newer process of the agent whose poll it
+	// answers.
+	Superseded bool `json:"superseded,omitempty"`
 }
 
 // WorkerState is what a worker reports of itself in an incarnation.
--- a/jobs/assignment/golden_test.go
+++ b/jobs/assignment/golden_test.go
@@ -93,7 +93,7 @@
 }
 
 func TestGoldenRedirect(t *testing.T) {
-	goldentest.JSON(t, "redirect", Redirect{Term: 4, Address: "10.1.0.19:7000", Self: "entry-2/91c2"})
+	goldentest.JSON(t, "redirect", Redirect{Term: 4, Address: "10.1.0.19:7000", Self: "entry-2/91c2", Superseded: true})
 }
 
 // TestGoldenInternalFields: what a run carries inside an agent only stays out of its polls.
--- a/jobs/assignment/poll.go
+++ b/jobs/assignment/poll.go
@@ -11,8 +11,9 @@
 	// Worker is the name of the agent's box, Agent that of this start of the agent's process.
 	Worker string `json:"worker"`
 	Agent  string `json:"agent"`
-	// AgentMillis is how long the agent's process has run, while that is so short that starts which
-	// an earlier process has sent may still be carried out; zero after that, and if it is unknown.
+	// AgentMillis is how long the agent's process has run, or has been heard again after another
+	// one, while that is so short that starts which the other one has sent may still be carried out;
+	// zero after that, and if it is unknown.
 	AgentMillis int64 `json:"agent_ms,omitempty"`
 	// Sequence rises with the agent's polls.
 	Sequence int64 `json:"seq"`
--- a/jobs/leader/golden_test.go
+++ b/jobs/leader/golden_test.go
@@ -113,7 +113,12 @@
 
 // TestGoldenRedirect holds the word of an entry on who leads.
 func TestGoldenRedirect(t *testing.T) {
-	goldentest.JSON(t, "redirect", assignment.Redirect{Term: 3, Address: "10.1.0.19:7000", Self: "entry-2/5"})
+	goldentest.JSON(t, "redirect", assignment.Redirect{
+		Term:       3,
+		Address:    "10.1.0.19:7000",
+		Self:       "entry-2/5",
+		Superseded: true,
+	})
 }
 
 // TestGoldenHandover holds a leader's offer.
--- a/jobs/leader/handler.go
+++ b/jobs/leader/handler.go
@@ -8,7 +8,7 @@
 )
 
 // ServePoll answers an agent's poll: 200 with an assignment.Answer, or 409 with an
-// assignment.Redirect if this entry does not lead.
+// assignment.Redirect if this entry does not lead or hears a newer process of the agent.
 func (c *Candidate) ServePoll(w http.ResponseWriter, r *http.Request) {
 	var poll assignment.Poll
 	if err := jsonhttp.Read(w, r, &poll); err != nil {
@@ -17,7 +17,9 @@
 	}
 	answer, ok := c.fleet.serve(r.Context(), poll)
 	if !ok {
-		jsonhttp.Write(w, http.StatusConflict, c.redirect())
+		redirect := c.redirect()
+		redirect.Superseded = c.fleet.supersedes(poll, redirect.Term)
+		jsonhttp.Write(w, http.StatusConflict, redirect)
 		return
 	}
 	jsonhttp.Write(w, http.StatusOK, answer)
--- a/jobs/leader/poll.go
+++ b/jobs/leader/poll.go
@@ -12,7 +12,7 @@
 // Reasons for which a poll is not taken as it came.
 var (
 	errNotLeading  = errors.New("this entry does not lead in the agent's term")
-	errFormerAgent = errors.New("a newer incarnation of the agent has polled")
+	errFormerAgent = errors.New("a newer process of the agent polls")
 	errOldFence    = errors.New("the agent has not heard the fence of its session")
 	errUnknownBase = errors.New("the poll is a delta to one that is unknown here")
 )
@@ -93,25 +93,20 @@
 	return poll, nil
 }
 
-// checkSession returns an error unless a poll is of the present incarnation of its agent. It turns
-// to another incarnation once that has shown the fence that it was offered: a poll of one that
-// was killed may arrive long after its successor's, and describes the worker as it was. An
-// incarnation that knows no fence yet has just started. f.mu must be held.
+// checkSession returns an error unless a poll is of the process that is heard from now on. f.mu must
+// be held.
 func (f *fleet) checkSession(w *worker, poll assignment.Poll) error {
 	session := &w.agent
-	if session.rejects(poll, f.lastPoll, f.timing.AgentTimeout) {
+	switch session.judge(poll, f.lastPoll, f.timing.AgentTimeout) {
+	case supersede:
 		return errFormerAgent
-	}
-	if session.incarnation != poll.Agent {
-		switch {
-		case poll.Fence == 0:
-			f.beginSession(w, poll, f.nextFence())
-		case session.offered.incarnation == poll.Agent && session.offered.fence == poll.Fence:
-			f.beginSession(w, poll, poll.Fence)
-		}
-	}
-	if session.incarnation != poll.Agent {
+	case makeOffer:
 		return errOldFence
+	case begin:
+		f.beginSession(w, poll, f.nextFence())
+	case beginOffered:
+		f.beginSession(w, poll, poll.Fence)
+	case hear:
 	}
 	session.heardAt = f.lastPoll
 	if poll.RefusedFence != 0 && poll.RefusedFence == session.fence {
@@ -120,7 +115,7 @@
 	return nil
 }
 
-// beginSession turns to another incarnation of a worker's agent. f.mu must be held.
+// beginSession turns to another process of a worker's agent. f.mu must be held.
 func (f *fleet) beginSession(w *worker, poll assignment.Poll, fence int64) {
 	f.logger.Info().Str("step", "leader.session").Str("worker", poll.Worker).Str("agent", poll.Agent).
 		Str("before", w.agent.incarnation).Int64("fence", fence).Msg("agent is heard")
@@ -139,6 +134,18 @@
 	w.wake()
 }
 
+// supersedes reports whether this entry leads in a term and hears a newer process of the agent that
+// has polled.
+func (f *fleet) supersedes(poll assignment.Poll, term int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[poll.Worker]
+	if f.term == 0 || f.term != term || poll.Term > f.term || w == nil {
+		return false
+	}
+	return w.agent.judge(poll, time.Now(), f.timing.AgentTimeout) == supersede
+}
+
 // nextFence returns a fence above all others of this and earlier terms. f.mu must be held.
 func (f *fleet) nextFence() int64 {
 	f.fences++
@@ -157,10 +164,8 @@
 	if w.agent.incarnation == poll.Agent {
 		return f.acknowledge(w), true
 	}
-	if w.agent.offered.incarnation != poll.Agent {
-		w.agent.offered = offeredFence{incarnation: poll.Agent, fence: f.nextFence()}
-	}
-	return assignment.Answer{Term: f.term, Fence: w.agent.offered.fence, Offer: true}, true
+	fence := w.agent.offer(poll, f.lastPoll, f.nextFence)
+	return assignment.Answer{Term: f.term, Fence: fence, Offer: true}, true
 }
 
 func (f *fleet) requestDecision() {
--- a/jobs/leader/worker.go
+++ b/jobs/leader/worker.go
@@ -28,7 +28,7 @@
 }
 
 func newWorker() *worker {
-	return &worker{agent: agentSession{former: map[string]bool{}}, changed: make(chan struct{})}
+	return &worker{agent: newAgentSession(), changed: make(chan struct{})}
 }
 
 func (w *worker) wake() {
@@ -36,39 +36,6 @@
 	w.changed = make(chan struct{})
 }
 
-// agentSession is the present incarnation of a worker's agent.
-type agentSession struct {
-	incarnation string
-	// former holds the incarnations whose polls are rejected while the present one is heard.
-	former map[string]bool
-	// fence rises with each incarnation; the worker obeys the highest.
-	fence int64
-	// heardAt is when the present incarnation was last heard.
-	heardAt time.Time
-	// offered is the fence that another incarnation has to show before it is the present one.
-	offered offeredFence
-}
-
-// offeredFence is a fence that was sent to an incarnation of an agent.
-type offeredFence struct {
-	incarnation string
-	fence       int64
-}
-
-func (s *agentSession) replace(incarnation string, fence int64) {
-	if s.incarnation != "" {
-		s.former[s.incarnation] = true
-	}
-	delete(s.former, incarnation)
-	s.incarnation, s.fence = incarnation, fence
-	s.offered = offeredFence{}
-}
-
-// rejects reports whether a poll is of a former incarnation while the present one is heard.
-func (s *agentSession) rejects(poll assignment.Poll, now time.Time, timeout time.Duration) bool {
-	return s.former[poll.Agent] && now.Sub(s.heardAt) < timeout
-}
-
 // reports are the polls of the agent's newest incarnation.
 type reports struct {
 	newest  assignment.Poll
--- a/jobs/runner/answer.go
+++ b/jobs/runner/answer.go
@@ -21,6 +21,7 @@
 	if a.Offer {
 		return
 	}
+	r.comeBack()
 	r.applyFence(a.Fence)
 	maps.DeleteFunc(r.former.unacked, func(_ incarnation.ID, e endedIncarnation) bool { return e.ackedBy(a.AckedPoll) })
 	r.applyLease(a, sent)
--- a/jobs/runner/fixture_test.go
+++ b/jobs/runner/fixture_test.go
@@ -27,6 +27,8 @@
 	heard  bool
 	polls  []assignment.Poll
 	down   bool
+	// rejection, if set, is the error of each poll.
+	rejection error
 	// keeps says that it keeps full polls, so that deltas may build on them.
 	keeps bool
 	base  int64
@@ -50,6 +52,9 @@
 	if o.down {
 		return assignment.Answer{}, context.DeadlineExceeded
 	}
+	if o.rejection != nil {
+		return assignment.Answer{}, o.rejection
+	}
 	a := o.answer
 	if o.keeps && p.Delta == nil {
 		o.base = max(o.base, p.Sequence)
@@ -73,6 +78,13 @@
 	f(&o.answer)
 }
 
+// reject answers polls with an error from now on, or takes them again if it is nil.
+func (o *leader) reject(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.rejection = err
+}
+
 // last is the newest poll.
 func (o *leader) last() assignment.Poll {
 	o.mu.Lock()
--- a/jobs/runner/heartbeat.go
+++ b/jobs/runner/heartbeat.go
@@ -11,9 +11,9 @@
 )
 
 // Heartbeat takes over what the worker reports of itself. It returns false for an incarnation
-// that is over, or that may be.
+// that is over, or that may be, and while a newer process of the agent is heard.
 func (r *Runner) Heartbeat(ctx context.Context, reported assignment.WorkerState) bool {
-	if !r.plausible(reported) {
+	if r.isSuperseded() || !r.plausible(reported) {
 		return false
 	}
 	current, conflicting := r.conflict(reported.ID)
@@ -23,6 +23,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.leader.superseded {
+		return false
+	}
 	if conflicting && !r.resolveConflict(current, reported.ID, answer) {
 		return false
 	}
--- a/jobs/runner/leader_client.go
+++ b/jobs/runner/leader_client.go
@@ -49,8 +49,22 @@
 // errNoLeader is returned while no leader is known.
 var errNoLeader = errors.New("no leader is known")
 
+// SupersededError is returned if the leader of a term hears a newer process of the agent.
+type SupersededError struct{ Term int64 }
+
+// Error implements error.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("the leader of term %d hears a newer process of the agent", e.Term)
+}
+
+// isSuperseded reports whether err is a SupersededError.
+func isSuperseded(err error) bool {
+	var superseded *SupersededError
+	return errors.As(err, &superseded)
+}
+
 // Poll implements Leader. A poll that failed asks entries who the leader is, so that a later
-// one may find it.
+// one may find it, unless it was the leader that answered.
 func (l *LeaderClient) Poll(ctx context.Context, p assignment.Poll) (assignment.Answer, error) {
 	leader, changed := l.directory.Leader(), l.directory.Changed()
 	if leader.Address == "" {
@@ -65,11 +79,13 @@
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("status %d", status)
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		return answer, nil
+	case !isSuperseded(err):
 		l.ask(ctx)
-		return answer, fault.New("runner.Poll", leader.Address, err)
 	}
-	return answer, nil
+	return answer, fault.New("runner.Poll", leader.Address, err)
 }
 
 // cancelAfter cancels a poll at the leader of a term once the directory, which then has
@@ -113,7 +129,7 @@
 }
 
 // exchange makes one exchange, and decodes the body of a success into out. From a redirect it
-// learns the leader.
+// learns the leader; its error is a SupersededError if the leader hears a newer process.
 func (l *LeaderClient) exchange(ctx context.Context, method, address, path string, body, out any) (int, error) {
 	var data []byte
 	if body != nil {
@@ -140,6 +156,9 @@
 		if json.Unmarshal(answer, &r) == nil {
 			l.directory.ObserveLeader(directory.Leader{Term: r.Term, Address: r.Address})
 		}
+		if r.Superseded {
+			return response.StatusCode, &SupersededError{Term: r.Term}
+		}
 		return response.StatusCode, nil
 	}
 	if response.StatusCode != http.StatusOK {
--- a/jobs/runner/lease.go
+++ b/jobs/runner/lease.go
@@ -14,6 +14,8 @@
 	offered int64
 	// refused is the fence that the worker has refused, since it has seen a higher one.
 	refused int64
+	// superseded is set while the leader hears a newer process of the agent.
+	superseded bool
 	// leaseUntil is the end of the lease that the leader granted.
 	leaseUntil suspend.Instant
 }
--- a/jobs/runner/metrics.go
+++ b/jobs/runner/metrics.go
@@ -69,6 +69,8 @@
 	unreadableRows tally.Counter
 	// implausible counts heartbeats that were dropped for the identity that they claim.
 	implausible tally.Counter
+	// superseded counts how often this process has given way to a newer one.
+	superseded tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -87,6 +89,7 @@
 		goneRuns:       scope.Counter("runs_gone_without_end"),
 		unreadableRows: scope.Counter("rows_unreadable"),
 		implausible:    scope.Counter("heartbeats_odd"),
+		superseded:     scope.Counter("superseded"),
 		ends: telemetry.NewCounters(scope, "ends_listed", "how",
 			job.EndDone,
 			job.EndFailed,
--- a/jobs/runner/poll.go
+++ b/jobs/runner/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/internal/pause"
@@ -15,6 +16,8 @@
 	// heldAtLeast: it would only repeat what was just reported.
 	heldAtLeast = 5 * time.Millisecond
 	repeatPause = 30 * time.Millisecond
+	// supersededPause is the pause between polls while a newer process of the agent is heard.
+	supersededPause = 500 * time.Millisecond
 )
 
 // pollLoop polls the leader. One loop waits there for orders, the other one brings news at once.
@@ -30,7 +33,7 @@
 		held, err := r.pollOnce(ctx, wait)
 		switch {
 		case err != nil:
-			pause.For(ctx, retryPause)
+			pause.For(ctx, pauseAfter(err))
 			if news != nil {
 				signal(news)
 			}
@@ -40,6 +43,14 @@
 	}
 }
 
+// pauseAfter is how long to wait after a poll that failed.
+func pauseAfter(err error) time.Duration {
+	if isSuperseded(err) {
+		return supersededPause
+	}
+	return retryPause
+}
+
 // pollOnce makes one poll and applies the answer. It returns for how long the leader held the
 // poll.
 func (r *Runner) pollOnce(ctx context.Context, wait bool) (held time.Duration, err error) {
@@ -49,6 +60,10 @@
 	answer, err := r.dependencies.Leader.Poll(attempt, poll)
 	cancel()
 	r.metrics.polls.Inc(outcomeOf(err))
+	var superseded *SupersededError
+	if errors.As(err, &superseded) {
+		r.giveWay(superseded.Term)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -104,10 +119,10 @@
 // describe it. The lock must be held.
 func (r *Runner) described() bool { return r.present.complete && r.leader.offered <= r.leader.fence }
 
-// ageMillis is how long this process has run, in milliseconds and at least one, while a start that an
-// earlier one has sent may be open; zero after that.
+// ageMillis is how long this process has run or is back, in milliseconds and at least one, while a
+// start that another one has sent may be open; zero after that.
 func (r *Runner) ageMillis(now time.Time) int64 {
-	age := now.Sub(r.startedAt)
+	age := now.Sub(r.begunAt)
 	if age >= assignment.MaxOpenTime {
 		return 0
 	}
--- a/jobs/runner/runner.go
+++ b/jobs/runner/runner.go
@@ -80,10 +80,11 @@
 	settings     Settings
 	dependencies Dependencies
 	metrics      metrics
-	startedAt    time.Time
 
 	// mu guards the fields up to the channels.
 	mu sync.Mutex
+	// begunAt is when this process began, or came back after another one was heard.
+	begunAt time.Time
 	// worker is what the worker reported last; nil while no incarnation is present.
 	worker *assignment.WorkerState
 	// generation counts the worker's incarnations.
@@ -113,7 +114,7 @@
 		settings:     s,
 		dependencies: d,
 		metrics:      newMetrics(d.Metrics),
-		startedAt:    time.Now(),
+		begunAt:      time.Now(),
 		generation:   1,
 		present:      newIncarnationState(),
 		former:       newFormerIncarnations(),
