The next leader ends a hold when the start is closed, as the former one would

Cause: the hold was stored with its end only. That the start is closed, 12 s after the former agent was last heard and with a list of the worker, is known to the leader that began the hold.

Change: the stored task names the workers of its open starts (ho), left out by default and ignored by the version before. The next leader releases the task once each of them is listed, no order of a former agent can come any more, and its agent tells of no open start of the task.

--- a/jobs/dispatch/controller.go
+++ b/jobs/dispatch/controller.go
@@ -86,6 +86,8 @@
 	arrivals []urgentArrival
 
 	workers map[string]*worker
+	// inherited are the tasks that an earlier leader has held, by the workers of their open starts.
+	inherited map[string][]job.TaskName
 	// unresolved are incarnations that ended, or fell silent, under a task before it was known
 	// whether they crashed; the values are their workers.
 	unresolved map[incarnation.ID]string
@@ -114,6 +116,7 @@
 		active:     map[job.ID]*trackedJob{},
 		unreadable: map[job.ID]bool{},
 		workers:    map[string]*worker{},
+		inherited:  map[string][]job.TaskName{},
 		unresolved: map[incarnation.ID]string{},
 		permits:    newPermitCache(d.Permits, d.Logger),
 		durations:  estimate.NewDurations(),
--- a/jobs/dispatch/jobs.go
+++ b/jobs/dispatch/jobs.go
@@ -48,6 +48,7 @@
 		c.desired.all = true
 	}
 	c.add(t)
+	c.inheritHolds(t)
 	t.progress.EachUnresolved(func(worker string, id incarnation.ID) { c.unresolved[id] = worker })
 	return t
 }
--- a/jobs/dispatch/open_starts.go
+++ b/jobs/dispatch/open_starts.go
@@ -48,9 +48,42 @@
 	}
 	for id := range before {
 		if _, open := w.openStarts[id]; !open {
-			c.release(now, id.Task)
+			c.release(now, w, id.Task)
 		}
 	}
+	c.releaseInherited(now, w, poll)
+}
+
+// inheritHolds notes for which starts an earlier leader has held tasks of a job.
+func (c *Controller) inheritHolds(t *trackedJob) {
+	t.progress.Each(t.job.ID, func(name job.TaskName, task *job.Task) {
+		for _, on := range task.HeldOn {
+			c.inherited[on] = append(c.inherited[on], name)
+		}
+	})
+}
+
+// releaseInherited releases the tasks that an earlier leader has held for starts on a worker, once
+// its agent tells of all that are open and does not name them, or no order of an earlier agent can
+// come any more. The list has what these starts began.
+func (c *Controller) releaseInherited(now time.Time, w *worker, poll assignment.Poll) {
+	if len(c.inherited[w.name]) == 0 || !w.ordersClosed(now) || !isListed(poll) {
+		return
+	}
+	for _, name := range c.inherited[w.name] {
+		c.release(now, w, name)
+	}
+	delete(c.inherited, w.name)
+}
+
+// ordersClosed reports whether no order of a former agent can come any more.
+func (w *worker) ordersClosed(now time.Time) bool {
+	return now.Sub(w.former.replacedAt) > assignment.MaxOrderDelay
+}
+
+// isListed reports whether a poll has the list of a worker that answers.
+func isListed(poll assignment.Poll) bool {
+	return poll.Complete && !poll.Unresponsive && poll.FailingMillis == 0
 }
 
 // replaceAgent notes that a worker has had a new agent since a time. The former one may have sent
@@ -78,9 +111,7 @@
 // carryFormerStarts adds the starts that a former agent may have sent. They are closed once no order
 // of that agent can come any more and the worker has been listed, or has another instance.
 func (w *worker) carryFormerStarts(now time.Time, poll assignment.Poll) {
-	listed := poll.Complete && !poll.Unresponsive && poll.FailingMillis == 0
-	delayed := now.Sub(w.former.replacedAt) <= assignment.MaxOrderDelay
-	if listed && !delayed || now.Sub(w.former.replacedAt) > openStartLimit {
+	if isListed(poll) && w.ordersClosed(now) || now.Sub(w.former.replacedAt) > openStartLimit {
 		w.former.starts = nil
 	}
 	for id, sentTo := range w.former.starts {
@@ -113,7 +144,7 @@
 		return
 	}
 	until, open := on.openStarts[id]
-	if !open || t.progress.Phase.Final() || !t.progress.Hold(id.Task, until) {
+	if !open || t.progress.Phase.Final() || !t.progress.Hold(time.Now(), id.Task, until, on.name) {
 		return
 	}
 	c.touch(t)
@@ -122,21 +153,33 @@
 		Str("worker", on.name).Time("until", until).Msg("task waits until its start can't come any more")
 }
 
-// release lets a task start again, unless another start of it is open.
-func (c *Controller) release(now time.Time, name job.TaskName) {
+// release lets a task start again of which a start on a worker is closed, unless another start of it
+// is open.
+func (c *Controller) release(now time.Time, w *worker, name job.TaskName) {
 	t := c.jobs[name.Job]
-	if t == nil || !t.progress.Held(name, now) {
+	if t == nil || !t.progress.Held(name, now) || w.hasOpenStart(now, name) {
 		return
 	}
-	for _, w := range c.workers {
-		for id, until := range w.openStarts {
-			if id.Task == name && until.After(now) {
-				return
-			}
+	c.touch(t)
+	if !t.progress.CloseStart(name, w.name) {
+		return
+	}
+	for _, other := range c.workers {
+		if other.hasOpenStart(now, name) {
+			return
 		}
 	}
 	t.progress.Release(name)
-	c.touch(t)
+}
+
+// hasOpenStart reports whether a start of a task on the worker is open.
+func (w *worker) hasOpenStart(now time.Time, name job.TaskName) bool {
+	for id, until := range w.openStarts {
+		if id.Task == name && until.After(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // awaitsOpenStarts reports whether a task of a unit must not start yet, since an earlier start
--- a/jobs/dispatch/open_starts_test.go
+++ b/jobs/dispatch/open_starts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
@@ -230,3 +231,65 @@
 		})
 	}
 }
+
+// TestNextLeaderReleasesTask: a task that an earlier leader holds starts again as soon as the next one
+// hears that its start is closed, as it would with the former.
+//
+// It waited until the end of the hold, 20 s, also where its worker's list showed after 12 s that the
+// start had not been carried out.
+func TestNextLeaderReleasesTask(t *testing.T) {
+	tests := []struct {
+		name string
+		// change changes the polls that the next leader hears.
+		change func(p *assignment.Poll)
+		// fromOlder says that the leader before has not stored where the starts are open.
+		fromOlder bool
+		released  time.Duration
+	}{
+		{"the agent tells of no open start", func(p *assignment.Poll) { p.AgentMillis = 0 }, false, 0},
+		{"the agent is new", func(*assignment.Poll) {}, false, assignment.MaxOrderDelay - time.Second},
+		{"the start is open", func(p *assignment.Poll) {
+			p.AgentMillis = 0
+			p.OpenStarts = []assignment.OpenStart{{RunID: assignment.RunID{Task: p.Runs[0].Task, Run: 1}, OpenMillis: 60_000}}
+		}, false, openStartLimit},
+		{"the worker is not listed", func(p *assignment.Poll) { p.AgentMillis, p.Complete = 0, false }, false, openStartLimit},
+		{"the worker gives no answer", func(p *assignment.Poll) { p.AgentMillis, p.FailingMillis = 0, 200 }, false, openStartLimit},
+		{"another worker", func(p *assignment.Poll) { p.AgentMillis, p.Worker = 0, "w0-1" }, false, openStartLimit},
+		{"the version before has stored the hold", func(p *assignment.Poll) { p.AgentMillis = 0 }, true, openStartLimit},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(t, 1, 2)
+				j := b.job(1, "other", job.Step{Tasks: 1})
+				b.plan(0)
+				w, id, poll := b.reported(j)
+				b.control.ExpireLeases(map[string]bool{w.name: true})
+				if test.fromOlder {
+					j.progress.Task(id.Task).HeldOn = nil
+				}
+				next := newFixture(t, 1, 2)
+				task := next.reopen(j).progress.Task(id.Task)
+				for waited := time.Duration(0); !task.Placed(); waited += 500 * time.Millisecond {
+					if waited > openStartLimit+time.Second {
+						t.Fatal("the task is held for longer than a start can be open")
+					}
+					p := poll
+					p.Agent, p.AgentMillis, p.Runs = "agent/2", (time.Second + waited).Milliseconds(), []assignment.Run{{RunID: id}}
+					test.change(&p)
+					p.Runs = nil
+					next.control.ApplyPoll(next.now, p)
+					next.plan(0)
+					if early := test.released - waited; task.Placed() && early > 0 {
+						t.Fatalf("the task is placed %v too early", early)
+					}
+					if late := waited - test.released; !task.Placed() && late > time.Second {
+						t.Fatalf("the task still waits %v after its start is closed", late)
+					}
+					time.Sleep(500 * time.Millisecond)
+					next.plan(500 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/jobs/job/golden_test.go
+++ b/jobs/job/golden_test.go
@@ -66,6 +66,7 @@
 		Done:             true,
 		GivenUp:          []int{3, 4},
 		HeldUntil:        goldenTime.Add(12 * time.Second),
+		HeldOn:           []string{"side-a-4", "side-a-5"},
 		Checkpoint:       "00000bb87a21d901",
 		Avoid:            "side-a-2",
 		Crashes:          1,
--- a/jobs/job/progress.go
+++ b/jobs/job/progress.go
@@ -128,14 +128,27 @@
 	return run + 1
 }
 
-// Hold keeps a task from starting again before a time. It returns false if the task is done, or is
-// held for as long already.
-func (p *Progress) Hold(name TaskName, until time.Time) bool {
+// Hold keeps a task from starting again before a time, for a start on a worker. It returns false if
+// the task is done, or is held for as long and for that worker already.
+func (p *Progress) Hold(now time.Time, name TaskName, until time.Time, worker string) bool {
 	t := p.Task(name)
-	if t == nil || t.Done || !until.After(t.HeldUntil) {
+	if t == nil || t.Done {
 		return false
 	}
-	t.HeldUntil = until
+	if !now.Before(t.HeldUntil) {
+		p.Release(name)
+	}
+	unknown := !t.HeldUntil.IsZero() && len(t.HeldOn) == 0
+	another := !unknown && !slices.Contains(t.HeldOn, worker)
+	if !another && !until.After(t.HeldUntil) {
+		return false
+	}
+	if another {
+		t.HeldOn = append(slices.Clone(t.HeldOn), worker)
+	}
+	if until.After(t.HeldUntil) {
+		t.HeldUntil = until
+	}
 	return true
 }
 
@@ -145,10 +158,21 @@
 	return t != nil && now.Before(t.HeldUntil)
 }
 
+// CloseStart notes that no start of a held task on a worker is open any more. It returns false if one
+// on another worker is, by what the task says.
+func (p *Progress) CloseStart(name TaskName, worker string) bool {
+	t := p.Task(name)
+	if t == nil {
+		return false
+	}
+	t.HeldOn = slices.DeleteFunc(slices.Clone(t.HeldOn), func(on string) bool { return on == worker })
+	return len(t.HeldOn) == 0
+}
+
 // Release lets a task start again.
 func (p *Progress) Release(name TaskName) {
 	if t := p.Task(name); t != nil {
-		t.HeldUntil = time.Time{}
+		t.HeldUntil, t.HeldOn = time.Time{}, nil
 	}
 }
 
--- a/jobs/job/task.go
+++ b/jobs/job/task.go
@@ -44,6 +44,9 @@
 	// HeldUntil is until when the task must not start again, since an earlier start of it may still
 	// be carried out; by the leader's clock.
 	HeldUntil time.Time `json:"hu,omitzero"`
+	// HeldOn names the workers of these starts. Empty in a task that is held, it says that they are
+	// not known.
+	HeldOn []string `json:"ho,omitempty"`
 	// Checkpoint is the newest saved progress; it is opaque.
 	Checkpoint string `json:"s,omitempty"`
 	// Avoid is the worker on which it failed last.
--- a/jobs/jobtest/late_starts_test.go
+++ b/jobs/jobtest/late_starts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/jobs/assignment"
 	"yarrowgrade.example/yarrowgrade/jobs/job"
 )
 
@@ -101,3 +102,22 @@
 	s.t.Fatal("no start was sent")
 	return 0
 }
+
+// TestHoldEndsUnderNextLeader: a task that waits for a late start starts again as soon as that can't
+// come any more, also if the leader that has held it is gone.
+//
+// It waited for 20 s: that its worker's list had closed the start was heard by the former leader only.
+func TestHoldEndsUnderNextLeader(t *testing.T) {
+	withinShape(t, shape{sameID: 1}, func(t *testing.T, s *system) {
+		s.workers.SetWork(time.Second)
+		j := s.simpleJob(1, time.Second)
+		w := s.submitDelayed(j, time.Hour)
+		s.worker[w].CrashProcess(100 * time.Millisecond)
+		s.restart(s.agents[w], func() { s.startAgent(w) }, 300*time.Millisecond)
+		began := time.Now()
+		time.Sleep(3 * time.Second)
+		s.killLeader(time.Second)
+		// The next leader hears the agent, places the task and the run ends within 3 s.
+		s.completed(j.ID, time.Until(began.Add(assignment.MaxOrderDelay+3*time.Second)))
+	})
+}
