memnet: a frozen process that was replaced at its address goes on when it is thawed

Two restarts of an entry that overlap attach it twice at one address. Its messages are delivered at the thaw now, as the fault says; nothing gets easier for the system.

--- a/internal/memnet/network.go
+++ b/internal/memnet/network.go
@@ -44,18 +44,28 @@
 type Network struct {
 	mu    sync.Mutex
 	hosts map[string]*host
-	cuts  map[link]bool
+	// replaced are the processes at whose address another one was attached while they lived. They
+	// get no more requests, and go on with those that they have.
+	replaced map[string][]*host
+	cuts     map[link]bool
 }
 
 // New returns a network without hosts.
 func New() *Network {
-	return &Network{hosts: make(map[string]*host), cuts: make(map[link]bool)}
+	return &Network{
+		hosts:    make(map[string]*host),
+		replaced: make(map[string][]*host),
+		cuts:     make(map[link]bool),
+	}
 }
 
 // Attach puts a process on the network under a base URL such as "http://entry-1".
 func (n *Network) Attach(address string, h http.Handler) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if former, found := n.hosts[address]; found {
+		n.replaced[address] = append(n.replaced[address], former)
+	}
 	thawed := make(chan struct{})
 	close(thawed)
 	n.hosts[address] = &host{handler: h, gone: make(chan struct{}), thawed: thawed}
@@ -84,7 +94,22 @@
 func (n *Network) Thaw(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if h, found := n.hosts[address]; found && !isClosed(h.thawed) {
+	n.thaw(address)
+}
+
+// thaw thaws the process at an address, and those that were replaced there. n.mu must be held.
+func (n *Network) thaw(address string) {
+	if h, found := n.hosts[address]; found {
+		h.thaw()
+	}
+	for _, h := range n.replaced[address] {
+		h.thaw()
+	}
+}
+
+// thaw lets the process go on. The lock of the network must be held.
+func (h *host) thaw() {
+	if !isClosed(h.thawed) {
 		close(h.thawed)
 	}
 }
@@ -105,10 +130,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cuts = make(map[link]bool)
-	for _, h := range n.hosts {
-		if !isClosed(h.thawed) {
-			close(h.thawed)
-		}
+	for address := range n.hosts {
+		n.thaw(address)
+	}
+	for address := range n.replaced {
+		n.thaw(address)
 	}
 }
 
--- a/jobs/jobtest/provoked_test.go
+++ b/jobs/jobtest/provoked_test.go
@@ -32,6 +32,40 @@
 	})
 }
 
+// TestProvokedSuccessors plays days on which a worker's agent and the leader are new while a start of
+// theirs is late, and the worker crashes again: it guards against a task that runs twice since nobody
+// who is left knows of the start.
+func TestProvokedSuccessors(t *testing.T) {
+	playDrawn(t, shape{sameID: 0.9}, func(s *system, seed uint64) {
+		s.faultsUntil = time.Now().Add(provokedFor + 2*lastFault)
+		go s.killWhoKnows(rand.New(rand.NewPCG(seed, 19)))
+	})
+}
+
+// killWhoKnows lets starts on one worker after the other be late, crashes it, and kills its agent and
+// the leader. Once those that follow are heard, it crashes the worker again.
+func (s *system) killWhoKnows(r *rand.Rand) {
+	for end := time.Now().Add(provokedFor); time.Now().Before(end); {
+		i := r.IntN(workerCount)
+		w := s.worker[i]
+		w.SetLate(0.6)
+		time.Sleep(time.Duration(500+r.IntN(1500)) * time.Millisecond)
+		w.CrashProcess(time.Duration(20+r.IntN(300)) * time.Millisecond)
+		go s.restart(s.agents[i], func() { s.startAgent(i) }, time.Duration(50+r.IntN(2000))*time.Millisecond)
+		if r.IntN(2) == 0 {
+			s.killLeader(time.Duration(r.IntN(1500)) * time.Millisecond)
+		}
+		w.SetLate(0)
+		again := time.Duration(1000+r.IntN(3000)) * time.Millisecond
+		time.AfterFunc(again, func() { w.CrashProcess(100 * time.Millisecond) })
+		if r.IntN(2) == 0 {
+			time.AfterFunc(again, func() { w.SetUnreachable(true) })
+			time.AfterFunc(again+time.Duration(1+r.IntN(5))*time.Second, func() { w.SetUnreachable(false) })
+		}
+		time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+	}
+}
+
 const (
 	// provokedFor is how long workers and processes are disturbed on a provoked day.
 	provokedFor = 25 * time.Second
