--- a/cmd/soak/cluster.go
+++ b/cmd/soak/cluster.go
@@ -55,6 +55,8 @@
 	callers string
 	// beside is the worker beside an agent; nil for an entry.
 	beside *jobtest.Worker
+	// boot is what the process was started with.
+	boot standin.Boot
 }
 
 // links returns all links of the box.
@@ -214,8 +216,9 @@
 
 // launch writes the settings of a process and starts it.
 func (c *cluster) launch(b *box, boot standin.Boot, args ...string) error {
-	boot.Node, boot.Zone, boot.Store = b.name, cmp.Or(boot.Zone, zoneOf(0)), b.store.Address()
+	boot.Node, boot.Zone, boot.Store = cmp.Or(boot.Node, b.name), cmp.Or(boot.Zone, zoneOf(0)), b.store.Address()
 	boot.Lease, boot.Revoke, boot.Grace = lease, revoke, grace
+	b.boot = boot
 	data, err := boot.Encode()
 	if err != nil {
 		return err
--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -51,11 +51,13 @@
 	// troubles is nil on a day without them.
 	troubles *troubles
 	// restarts is nil on a day on which each incarnation has an ID of its own.
-	restarts   *restarts
-	random     *rand.Rand
-	endings    endings
-	standstill standstill
-	violations []string
+	restarts *restarts
+	// secondAgents is nil on a day of planned work.
+	secondAgents *secondAgents
+	random       *rand.Rand
+	endings      endings
+	standstill   standstill
+	violations   []string
 }
 
 // playDay plays one day.
@@ -79,6 +81,9 @@
 	if s.SameIDs && !planned {
 		d.restarts = newRestarts(c, seed)
 	}
+	if !planned {
+		d.secondAgents = newSecondAgents(c, seed, d.injector.note)
+	}
 	go d.standstill.watch(ctx)
 	if err := d.awaitService(ctx, startTimeout); err != nil {
 		return report{}, err
@@ -107,6 +112,9 @@
 	if d.restarts != nil {
 		activities = append(activities, d.restarts.run)
 	}
+	if d.secondAgents != nil {
+		activities = append(activities, d.secondAgents.run)
+	}
 	done := make(chan struct{}, len(activities))
 	begin := func(f func(context.Context)) {
 		go func() {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -4,7 +4,8 @@
 // Package platform/standin plays the users' platform in this process. All traffic of the programs
 // goes through links that are cut in one or both directions, slowed down and reset. Processes are
 // paused, killed, stopped and restarted. The store goes down, is slow, and loses answers. Workers
-// crash, drain, become unreachable and carry out orders late. Faults overlap. On every fourth day
+// crash, drain, become unreachable and carry out orders late. A second process of an agent starts while
+// the first is paused, and both go on. Faults overlap. On every fourth day
 // (a run of one seed is called a day) only planned stops, reloads and cordons happen, and no call
 // may be cut or delayed by them.
 //
