soak: a job that was forgotten before it was asked for counts by the workers' own record

Cause: an ended job may be forgotten after the two minutes that callers are promised, and the soak had not asked before. It plays the workers, so it knows whether and when a job's tasks ended.

Change: such a job counts as kept only if the workers' record says that it ended, and that nothing of it ran for two minutes since.

--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -35,21 +35,24 @@
 	queueOf map[job.ID]int
 	// refused holds the jobs that were not accepted, and whether every attempt was certainly
 	// refused.
-	accepted   map[job.ID]bool
-	refused    map[job.ID]bool
-	cancelled  map[job.ID]bool
-	violations []string
+	accepted  map[job.ID]bool
+	refused   map[job.ID]bool
+	cancelled map[job.ID]bool
+	// cancelledAt is when an entry has answered that a job is cancelled.
+	cancelledAt map[job.ID]time.Time
+	violations  []string
 }
 
 func newCallers(c *cluster, random *rand.Rand, planned bool) *callers {
 	cs := &callers{
-		cluster:   c,
-		random:    random,
-		planned:   planned,
-		queueOf:   map[job.ID]int{},
-		accepted:  map[job.ID]bool{},
-		refused:   map[job.ID]bool{},
-		cancelled: map[job.ID]bool{},
+		cluster:     c,
+		random:      random,
+		planned:     planned,
+		queueOf:     map[job.ID]int{},
+		accepted:    map[job.ID]bool{},
+		refused:     map[job.ID]bool{},
+		cancelled:   map[job.ID]bool{},
+		cancelledAt: map[job.ID]time.Time{},
 	}
 	for range c.entries {
 		transport := &http.Transport{MaxIdleConnsPerHost: 4}
@@ -149,4 +152,9 @@
 	cs.mu.Unlock()
 	answer := cs.caller(entry, keptKey).Cancel(ctx, prefix(queue), id)
 	cs.judge("cancellation of "+string(id), answer, answer.Reached())
+	if answer.Accepted() {
+		cs.mu.Lock()
+		cs.cancelledAt[id] = time.Now()
+		cs.mu.Unlock()
+	}
 }
--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -211,7 +211,7 @@
 }
 
 // unsettled returns a violation for each accepted job that some entry doesn't say has ended. Once
-// callers have been told the end of a job and may no longer ask for it, entries may forget it.
+// callers may no longer ask for a job that has ended, entries may forget it.
 func (d *day) unsettled(ctx context.Context) []string {
 	var open []string
 	for id := range d.callers.accepted {
@@ -221,7 +221,7 @@
 			switch {
 			case ended(state):
 				d.endings.note(id, state, now)
-			case a.Status == statusUnknownJob && d.endings.mayBeForgotten(id, now):
+			case a.Status == statusUnknownJob && (d.endings.mayBeForgotten(id, now) || d.endedLongAgo(id, now)):
 			default:
 				open = append(open, fmt.Sprintf("LOST: entry-%d says of accepted job %s: %q (status %d, %v)",
 					i, id, state, a.Status, a.Err))
--- a/cmd/soak/endings.go
+++ b/cmd/soak/endings.go
@@ -26,6 +26,24 @@
 	}
 }
 
+// endedLongAgo reports whether the workers' own record says that a job has ended, so long ago that
+// callers may no longer ask for it. The soak may have asked for the first time after that: it stands
+// still with its machine.
+func (d *day) endedLongAgo(id job.ID, now time.Time) bool {
+	workers := d.cluster.platform.Workers
+	at, ok := workers.EndedAt(id)
+	switch {
+	case ok && workers.AllDone(id), ok && workers.MayFail(id):
+	case !d.callers.cancelledAt[id].IsZero() && !workers.AnyRun(id):
+		if cancelled := d.callers.cancelledAt[id]; cancelled.After(at) {
+			at = cancelled
+		}
+	default:
+		return false
+	}
+	return now.Sub(at) >= statusRetention
+}
+
 // mayBeForgotten reports whether entries may say that they don't know a job: its end was told so
 // long ago. A day on which the machine stood still for minutes may last that long.
 func (e endings) mayBeForgotten(id job.ID, now time.Time) bool {
--- a/cmd/soak/endings_test.go
+++ b/cmd/soak/endings_test.go
@@ -1,13 +1,19 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"yarrowgrade.example/yarrowgrade/jobs/assignment"
 	"yarrowgrade.example/yarrowgrade/jobs/job"
+	"yarrowgrade.example/yarrowgrade/jobs/jobtest"
+	"yarrowgrade.example/yarrowgrade/jobs/runner"
+	"yarrowgrade.example/yarrowgrade/platform/standin"
 )
 
 // TestMayBeForgotten: a job that is not known counts as lost unless an entry has told its end, and
@@ -69,7 +75,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := &cluster{}
+			c := &cluster{platform: standin.New(1)}
+			c.platform.Workers.Expect(&job.Job{ID: id, Steps: []job.Step{{Tasks: 1}}})
 			for _, s := range test.entries {
 				server := httptest.NewServer(s)
 				defer server.Close()
@@ -86,3 +93,66 @@
 		})
 	}
 }
+
+// TestForgottenBeforeAsked: a job that every entry has forgotten before its end was told counts as kept
+// only if the workers' own record says that it ended long enough ago.
+func TestForgottenBeforeAsked(t *testing.T) {
+	tests := []struct {
+		name string
+		// tasks is how many tasks the job has; runs is how many of them run on the worker.
+		tasks, runs int
+		fails       bool
+		cancelled   bool
+		since       time.Duration
+		kept        bool
+	}{
+		{"all tasks done long ago", 2, 2, false, false, statusRetention, true},
+		{"all tasks done a second too late", 2, 2, false, false, statusRetention - time.Second, false},
+		{"a task never ran", 2, 1, false, false, statusRetention, false},
+		{"nothing ever ran", 2, 0, false, false, statusRetention, false},
+		{"a task failed once and was not run again", 1, 1, true, false, statusRetention, false},
+		{"cancelled long ago, nothing ever ran", 2, 0, false, true, statusRetention, true},
+		{"cancelled a second too late", 2, 0, false, true, statusRetention - time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const id = job.ID("0000000000000001")
+				workers := jobtest.NewWorkers(1)
+				workers.Work = time.Second
+				if test.fails {
+					workers.FailureShare = 1
+				}
+				workers.Expect(&job.Job{ID: id, Service: service, MaxAttempts: 4, Steps: []job.Step{{Tasks: test.tasks}}})
+				w := workers.Add("worker", service, "zone", "rack", capacity)
+				ctx, stop := context.WithCancel(t.Context())
+				go workers.Run(ctx)
+				d := &day{
+					cluster: &cluster{platform: &standin.Platform{Workers: workers}},
+					callers: newCallers(&cluster{}, nil, false),
+				}
+				state, _ := w.Beat()
+				for i := range test.runs {
+					run := assignment.Start{RunID: assignment.RunID{Task: job.TaskName{Job: id, Index: i}, Run: 1}}
+					if _, err := w.Start(ctx, runner.Order{Incarnation: state.ID, Fence: 1}, run, time.Minute.Milliseconds()); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(2 * time.Second)
+				ended, _ := workers.EndedAt(id)
+				if test.cancelled {
+					ended = time.Now()
+					d.callers.cancelledAt[id] = ended
+				}
+				if ended.IsZero() {
+					ended = time.Now()
+				}
+				if kept := d.endedLongAgo(id, ended.Add(test.since)); kept != test.kept {
+					t.Errorf("it counts as kept: %v, want %v", kept, test.kept)
+				}
+				stop()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/jobs/jobtest/rules.go
+++ b/jobs/jobtest/rules.go
@@ -171,6 +171,17 @@
 	return n
 }
 
+// EndedAt returns when the last run of a job ended, and false while one runs or if none ever did.
+func (ws *Workers) EndedAt(id job.ID) (time.Time, bool) {
+	if ws.AnyRun(id) {
+		return time.Time{}, false
+	}
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	at, ok := ws.lastEnd[id]
+	return at, ok
+}
+
 // StartsIn counts the runs that were started in an availability zone.
 func (ws *Workers) StartsIn(zone string) int {
 	ws.mu.Lock()
--- a/jobs/jobtest/run.go
+++ b/jobs/jobtest/run.go
@@ -100,6 +100,7 @@
 	w.highestRun[r.id.Task] = max(w.highestRun[r.id.Task], r.id.Run)
 	w.lastEnd++
 	w.endedAt[w.lastEnd] = time.Now()
+	w.all.lastEnd[r.id.Task.Job] = time.Now()
 	w.ends = append(w.ends, assignment.End{RunID: r.id, Number: w.lastEnd, Reason: how, Checkpoint: w.saved(r)})
 }
 
--- a/jobs/jobtest/workers.go
+++ b/jobs/jobtest/workers.go
@@ -49,6 +49,8 @@
 	failures map[job.TaskName]map[int]bool
 	// everStarted holds the jobs of which anything was ever started.
 	everStarted map[job.ID]bool
+	// lastEnd is when a run of each job last ended.
+	lastEnd map[job.ID]time.Time
 	// cordoned is when operators were told that an availability zone is cordoned, while it is.
 	cordoned map[string]time.Time
 	// startsIn counts the runs that were started in each availability zone.
@@ -71,6 +73,7 @@
 		acked:       map[job.TaskName]bool{},
 		failures:    map[job.TaskName]map[int]bool{},
 		everStarted: map[job.ID]bool{},
+		lastEnd:     map[job.ID]time.Time{},
 		cordoned:    map[string]time.Time{},
 		startsIn:    map[string]int{},
 		crashers:    map[job.TaskName]crasher{},
