soak: a call that is held by a standstill of the soak itself is told apart

Cause, provoked: the soak's own process stood still while the call was open.

Change: a call counts as held if it took longer than the bound without that time, and a call that the caller's own timer gave up meanwhile as read late.

--- a/cmd/soak/address_test.go
+++ b/cmd/soak/address_test.go
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	c.entries[0].process.Kill()
-	d := &day{settings: s, cluster: c, callers: newCallers(c, nil, false)}
+	d := &day{settings: s, cluster: c, callers: newCallers(c, nil, false, nil)}
 	err = d.awaitService(t.Context(), time.Second)
 	var failure *notServingError
 	if !errors.As(err, &failure) {
--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -27,6 +29,8 @@
 	random  *rand.Rand
 	// planned means that no call may be cut or delayed.
 	planned bool
+	// standstill knows when this process did not run.
+	standstill *standstill
 	// clients are one for each entry; they keep their connections open.
 	clients []*http.Client
 
@@ -41,13 +45,16 @@
 	// cancelledAt is when an entry has answered that a job is cancelled.
 	cancelledAt map[job.ID]time.Time
 	violations  []string
+	// lateReadings describe calls that were held by a standstill of this process alone.
+	lateReadings []string
 }
 
-func newCallers(c *cluster, random *rand.Rand, planned bool) *callers {
+func newCallers(c *cluster, random *rand.Rand, planned bool, s *standstill) *callers {
 	cs := &callers{
 		cluster:     c,
 		random:      random,
 		planned:     planned,
+		standstill:  s,
 		queueOf:     map[job.ID]int{},
 		accepted:    map[job.ID]bool{},
 		refused:     map[job.ID]bool{},
@@ -77,18 +84,49 @@
 	cs.violations = append(cs.violations, fmt.Sprintf(format, args...))
 }
 
-// judge checks an answer on a day of planned work. A call that found nobody listening was not
-// taken, and may be retried elsewhere.
+// judge checks an answer that has just come on a day of planned work. A call that found nobody
+// listening was not taken, and may be retried elsewhere. What this process only read late, or gave up
+// by its own timer, while it did not run is told apart: nobody was held or cut by the system.
 func (cs *callers) judge(what string, a standin.Answer, reached bool) {
 	if !cs.planned {
 		return
 	}
-	if a.Status == 0 && reached {
+	stood := cs.stoodStill(a)
+	heldLong := a.Took-stood > answerLimit
+	givenUp := a.Status == 0 && reached
+	if a.Took > answerLimit && !heldLong && (!givenUp || isTimeout(a.Err)) {
+		cs.noteLate("late reading: %s was answered after %v, of which this process stood still for %v (%v)",
+			what, a.Took, stood, a.Err)
+		return
+	}
+	if givenUp {
 		cs.violate("CUT: %s broke off: %v", what, a.Err)
 	}
-	if a.Took > answerLimit {
-		cs.violate("HELD: %s was answered after %v", what, a.Took)
+	if heldLong {
+		cs.violate("HELD: %s was answered after %v, of which this process stood still for %v", what, a.Took, stood)
+	}
+}
+
+// stoodStill returns for how long this process did not run during a call that has just ended; zero for
+// one that was answered in time.
+func (cs *callers) stoodStill(a standin.Answer) time.Duration {
+	if a.Took <= answerLimit {
+		return 0
 	}
+	now := time.Now()
+	return cs.standstill.between(now.Add(-a.Took), now)
+}
+
+func (cs *callers) noteLate(format string, args ...any) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.lateReadings = append(cs.lateReadings, fmt.Sprintf(format, args...))
+}
+
+// isTimeout reports whether a call ended by the caller's own timer.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // drawJob draws a job and the queue to submit it to.
--- a/cmd/soak/day.go
+++ b/cmd/soak/day.go
@@ -30,6 +30,8 @@
 	accepted, refused, doubted int
 	starts                     int
 	injected, violations       []string
+	// lateReadings describe calls that were held by a standstill of this process alone.
+	lateReadings []string
 }
 
 // summary returns the report in one line.
@@ -56,7 +58,7 @@
 	secondAgents *secondAgents
 	random       *rand.Rand
 	endings      endings
-	standstill   standstill
+	standstill   *standstill
 	violations   []string
 }
 
@@ -69,10 +71,10 @@
 	if err != nil {
 		return report{}, err
 	}
-	planned := seed%4 == 0
+	planned, still := seed%4 == 0, &standstill{}
 	d := &day{
-		settings: s, cluster: c, random: rand.New(rand.NewPCG(seed, 1)), endings: endings{},
-		callers:  newCallers(c, rand.New(rand.NewPCG(seed, 2)), planned),
+		settings: s, cluster: c, random: rand.New(rand.NewPCG(seed, 1)), endings: endings{}, standstill: still,
+		callers:  newCallers(c, rand.New(rand.NewPCG(seed, 2)), planned, still),
 		injector: &injector{cluster: c, random: rand.New(rand.NewPCG(seed, 3)), planned: planned},
 	}
 	if s.Troubled && !planned {
@@ -304,6 +306,7 @@
 			r.doubted++
 		}
 	}
+	r.lateReadings = d.callers.lateReadings
 	r.violations = slices.Concat(d.violations, d.injector.violations, d.callers.violations)
 	return r
 }
--- a/cmd/soak/endings_test.go
+++ b/cmd/soak/endings_test.go
@@ -82,7 +82,7 @@
 				defer server.Close()
 				c.entries = append(c.entries, &box{callers: server.Listener.Addr().String()})
 			}
-			d := &day{cluster: c, callers: newCallers(c, nil, false), endings: endings{}}
+			d := &day{cluster: c, callers: newCallers(c, nil, false, nil), endings: endings{}}
 			d.callers.accepted[id] = true
 			if test.told > 0 {
 				d.endings.note(id, "completed", time.Now().Add(-test.told))
@@ -129,7 +129,7 @@
 				go workers.Run(ctx)
 				d := &day{
 					cluster: &cluster{platform: &standin.Platform{Workers: workers}},
-					callers: newCallers(&cluster{}, nil, false),
+					callers: newCallers(&cluster{}, nil, false, nil),
 				}
 				state, _ := w.Beat()
 				for i := range test.runs {
--- a/cmd/soak/explain_test.go
+++ b/cmd/soak/explain_test.go
@@ -41,7 +41,7 @@
 		t.Fatal(err)
 	}
 	c.platform.Workers.FailureShare = 0
-	p.cluster, p.callers = c, newCallers(c, rand.New(rand.NewPCG(1, 1)), false)
+	p.cluster, p.callers = c, newCallers(c, rand.New(rand.NewPCG(1, 1)), false, nil)
 	d := &day{settings: small(), cluster: c, callers: p.callers}
 	if err := d.awaitService(ctx, startTimeout); err != nil {
 		t.Fatal(err)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -20,7 +20,8 @@
 //	bin/soak --program bin/yarrowgraded --seeds 10 --parallel 3 --same-ids
 //	bin/soak --program bin/yarrowgraded --seed 7            one day again, with its logs in --logs
 //
-// It prints a line for each day, and a line for each violation. The same seed draws the same jobs
+// It prints a line for each day, and a line for each violation, and for each call that was answered
+// late since this process itself did not run. The same seed draws the same jobs
 // and faults, but the machine schedules the processes, so a day doesn't repeat exactly. The exit
 // code is 1 if a day had a violation.
 package main
@@ -32,6 +33,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -119,7 +121,7 @@
 		return fmt.Errorf("seed %d: %w", seed, err)
 	}
 	fmt.Printf("seed %d: %s, %.0f s\n", seed, report.summary(), time.Since(began).Seconds())
-	for _, v := range report.violations {
+	for _, v := range slices.Concat(report.lateReadings, report.violations) {
 		fmt.Printf("seed %d: %s\n", seed, v)
 	}
 	if len(report.violations) > 0 {
