--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -38,6 +38,7 @@
 	"stale":     staleStart,
 	"cancel":    cancelUnknown,
 	"lasting":   lastingGivenUp,
+	"rounds":    manyRounds,
 	"latebeats": lateHeartbeats,
 }
 
