Log the fence of orders to workers

Cause: when a start was carried out after a change of the leader, the agent's lines did not show under whose authority it was sent: by the former leader's order, by a new order of the next leader, or by an old call that the worker carried out late.

Change: the lines "start ordered", "stop ordered" and "speed ordered" carry `fence`, whose upper bits name the term.

--- a/jobs/runner/starts.go
+++ b/jobs/runner/starts.go
@@ -189,8 +189,8 @@
 		k.ordered = false
 	}
 	r.recordAnswer(attempt.order, clock, err)
-	r.dependencies.Logger.Info().Str("step", "runner.start").Stringer("task", s.Task).Int("run", s.Run).Err(err).
-		Msg("start ordered")
+	r.dependencies.Logger.Info().Str("step", "runner.start").Stringer("task", s.Task).Int("run", s.Run).
+		Int64("fence", attempt.order.Fence).Err(err).Msg("start ordered")
 	return r.applyStart(ctx, s, k, err)
 }
 
--- a/jobs/runner/stops.go
+++ b/jobs/runner/stops.go
@@ -117,8 +117,8 @@
 		return false
 	}
 	r.recordAnswer(order, clock, err)
-	r.dependencies.Logger.Info().Str("step", "runner.stop").Stringer("task", s.Task).Int("run", s.Run).Err(err).
-		Msg("stop ordered")
+	r.dependencies.Logger.Info().Str("step", "runner.stop").Stringer("task", s.Task).Int("run", s.Run).
+		Int64("fence", order.Fence).Err(err).Msg("stop ordered")
 	if errors.Is(err, ErrOtherIncarnation) {
 		r.endIncarnation(err)
 	}
--- a/jobs/runner/throttle.go
+++ b/jobs/runner/throttle.go
@@ -156,7 +156,7 @@
 	}
 	r.recordAnswer(order, clock, err)
 	r.dependencies.Logger.Info().Str("step", "runner.pace").Stringer("task", id.Task).Int("run", id.Run).
-		Int("percent", percent).Err(err).Msg("speed ordered")
+		Int("percent", percent).Int64("fence", order.Fence).Err(err).Msg("speed ordered")
 	if err == nil {
 		r.present.throttle.applied[id] = percent
 	}
