A run whose end does not fit into the worker's list is no longer taken for over

What callers saw: after an outage of the store of 4.5 s, hundreds of finished tasks ran a second time ("run 1 ended done at 10.729, and run 2 started at 13.227", 296 to 780 of 1,500), and their job was late.

Cause: a worker lists at most 500 ends at a time. The agent took runs that were neither running nor among the listed ends for over without an end, and the leader placed them again. A new process of the agent came to the same conclusion another way: it sent starts of runs whose ends were not listed yet, the worker refused them as old, and the process took the runs for ones that had never been there.

Change: a list says whether it may omit ends, and one method says whether the absence of a run can be concluded from it. Each reader asks it: runs are kept until their end is listed, a stop is settled and an open start closed only by a list that shows everything, and no start is sent before the worker has listed all its ends under the newest fence. Polls say that their list is partial, and the leader then releases no task that is held for a start. The field is left out by default; beside the version before an agent of this one protects its own worker.

Why this works: partial lists still count as the worker's list, so that their ends are stored; only then does the worker list the next ones. What is concluded late is never wrong, and what is kept is reported as present, so that the leader places nothing anew.

The fake workers listed all ends at once, so no test saw the fault.

The tests of jobs/jobtest pass.

--- a/jobs/assignment/golden_test.go
+++ b/jobs/assignment/golden_test.go
@@ -34,6 +34,7 @@
 			Version:     "v1",
 		},
 		Complete:            true,
+		Partial:             true,
 		Runs:                []Run{{RunID: goldenRun, Percent: 41, AgeMillis: 5000, ListedMillis: 4500}},
 		Ends:                []End{goldenEnd},
 		Refused:             []Refusal{{RunID: goldenRun, Reason: "room", Uncertain: true, Started: true}},
@@ -77,7 +78,7 @@
 	}
 )
 
-func TestGoldenPoll(t *testing.T)      { goldentest.JSON(t, "poll-versioned", goldenPoll) }
+func TestGoldenPoll(t *testing.T)      { goldentest.JSON(t, "poll-partial", goldenPoll) }
 func TestGoldenAnswer(t *testing.T)    { goldentest.JSON(t, "answer", goldenAnswer) }
 func TestGoldenLife(t *testing.T)      { goldentest.JSON(t, "life-versioned", *goldenPoll.State) }
 func TestGoldenRunID(t *testing.T)     { goldentest.JSON(t, "run-id", goldenRun) }
@@ -95,6 +96,7 @@
 // still read, and written as before.
 func TestGoldenWithoutVersion(t *testing.T) {
 	poll, state := goldenPoll, *goldenPoll.State
+	poll.Partial = false
 	state.Version = ""
 	poll.State = &state
 	testGoldenOlder(t, "poll.json", poll)
@@ -103,6 +105,15 @@
 	testGoldenOlder(t, "life-defaults.json", WorkerState{})
 }
 
+// TestGoldenWithoutPartial: the polls of an agent that doesn't tell partial lists apart are still
+// read, and written as before.
+func TestGoldenWithoutPartial(t *testing.T) {
+	poll := goldenPoll
+	poll.Partial = false
+	testGoldenOlder(t, "poll-versioned.json", poll)
+	testGoldenOlder(t, "poll-versioned-defaults.json", Poll{})
+}
+
 // testGoldenOlder checks that a record is decoded into the value, and that the value is encoded as
 // the record.
 func testGoldenOlder[T any](t *testing.T, name string, value T) {
--- a/jobs/assignment/poll.go
+++ b/jobs/assignment/poll.go
@@ -28,10 +28,14 @@
 	// State is the worker's state; nil while no incarnation is known.
 	State *WorkerState `json:"life,omitempty"`
 	// Complete is set if Runs and Ends are those that the worker listed under the newest fence.
-	Complete bool      `json:"listed,omitempty"`
-	Runs     []Run     `json:"runs,omitempty"`
-	Ends     []End     `json:"ends,omitempty"`
-	Refused  []Refusal `json:"refused,omitempty"`
+	Complete bool `json:"listed,omitempty"`
+	// Partial is set if the worker's newest list did not show everything that the worker holds: it
+	// omitted ends, which come once the leader has stored those in Ends, or had unreadable rows. A
+	// run of which the poll says nothing may then have started, and may have ended.
+	Partial bool      `json:"partial,omitempty"`
+	Runs    []Run     `json:"runs,omitempty"`
+	Ends    []End     `json:"ends,omitempty"`
+	Refused []Refusal `json:"refused,omitempty"`
 	// EndedIncarnations lists the incarnations on which no run is running.
 	EndedIncarnations []IncarnationEnd `json:"lives_over,omitempty"`
 	// ClosingIncarnations lists incarnations that have ended too, but for which orders may still
--- a/jobs/dispatch/open_starts.go
+++ b/jobs/dispatch/open_starts.go
@@ -81,9 +81,10 @@
 	return now.Sub(w.previous.replacedAt) > assignment.MaxOrderDelay
 }
 
-// isListed reports whether a poll contains the list of a worker that responds.
+// isListed reports whether a poll contains the list of a worker that responds, and this list shows
+// every run that was started and every end.
 func isListed(poll assignment.Poll) bool {
-	return poll.Complete && !poll.Unresponsive && poll.FailingMillis == 0
+	return poll.Complete && !poll.Partial && !poll.Unresponsive && poll.FailingMillis == 0
 }
 
 // replaceAgent records that a worker has had a new agent since the given time. The previous agent
--- a/jobs/dispatch/open_starts_test.go
+++ b/jobs/dispatch/open_starts_test.go
@@ -256,6 +256,9 @@
 		{"the worker is not listed", func(p *assignment.Poll) {
 			p.AgentMillis, p.Complete = 0, false
 		}, false, openStartLimit},
+		{"the worker's list omits ends", func(p *assignment.Poll) {
+			p.AgentMillis, p.Partial = 0, true
+		}, false, openStartLimit},
 		{"the worker gives no answer", func(p *assignment.Poll) {
 			p.AgentMillis, p.FailingMillis = 0, 200
 		}, false, openStartLimit},
--- a/jobs/jobtest/orders.go
+++ b/jobs/jobtest/orders.go
@@ -248,6 +248,12 @@
 			LatencyMillis: w.latencyMillis(r),
 		})
 	}
-	l.Ends = append(l.Ends, w.ends...)
+	listed := min(len(w.ends), w.workers.ListedEnds)
+	l.Ends = append(l.Ends, w.ends[:listed]...)
+	// As on the platform, a full list does not show whether there are more ends.
+	l.EndsOmitted = listed == w.workers.ListedEnds
+	if len(w.ends) > listed {
+		w.workers.CutLists++
+	}
 	return l
 }
--- a/jobs/jobtest/rig_test.go
+++ b/jobs/jobtest/rig_test.go
@@ -109,6 +109,10 @@
 	// sameID and noStartTimes set the fields SameIDShare and NoStartTimes of jobtest.Workers.
 	sameID       float64
 	noStartTimes bool
+	// listedEnds is the maximum number of ends in a worker's list, and capacity that of each worker;
+	// zero means the default.
+	listedEnds int
+	capacity   job.Resources
 	// logger, if set, receives the log lines of all processes.
 	logger *zerolog.Logger
 	// policy is that of all entries. endedRetention is how long they keep ended jobs; zero means the
@@ -155,13 +159,14 @@
 	s.workers.Logger = s.logger
 	s.workers.FailureShare = 0.03
 	s.workers.SameIDShare, s.workers.NoStartTimes = opts.sameID, opts.noStartTimes
+	s.workers.ListedEnds = cmp.Or(opts.listedEnds, jobtest.DefaultListedEnds)
 	record := []topic.Record{{Key: "config", Value: []byte("1")}}
 	if _, err := s.config.Client("operator").Append(ctx, record, topic.Condition{}); err != nil {
 		t.Fatal(err)
 	}
 	for i := range workerCount {
 		name, rack := fmt.Sprintf("worker-%d", i), fmt.Sprintf("rack-%d", i/rackSize)
-		capacity := job.Resources{CPU: 16_000, Memory: 64_000, Accelerators: 8}
+		capacity := cmp.Or(opts.capacity, job.Resources{CPU: 16_000, Memory: 64_000, Accelerators: 8})
 		s.worker = append(s.worker, s.workers.Add(name, service, zoneOf(i), rack, capacity, "a"))
 		s.agents = append(s.agents, &process{name: name})
 	}
--- a/jobs/jobtest/workers.go
+++ b/jobs/jobtest/workers.go
@@ -15,6 +15,9 @@
 // tick is the interval at which the workers' state advances.
 const tick = 20 * time.Millisecond
 
+// DefaultListedEnds is the maximum number of ends in a list of a worker on the users' platform.
+const DefaultListedEnds = 500
+
 // Workers is the set of all workers of a test. It checks the orders that the workers receive
 // against the state of all of them, and records violations of the rules. One mutex guards all
 // workers; the exported fields must be set before Run.
@@ -25,6 +28,9 @@
 	SameIDShare float64
 	// NoStartTimes makes workers omit their start times. Every incarnation then has a new ID.
 	NoStartTimes bool
+	// ListedEnds is the maximum number of ends in a list. A worker that has more lists those with the
+	// lowest numbers.
+	ListedEnds int
 	// Work is the duration of each task. If it is zero, the durations are 1 to 2.9 s; see workOf.
 	Work time.Duration
 	// Logger receives events that agents cannot observe, such as new incarnations and late orders.
@@ -32,6 +38,8 @@
 	// Violations lists the violations of rules, and Starts counts the runs that were started.
 	Violations []string
 	Starts     int
+	// CutLists counts the lists that omitted ends.
+	CutLists int
 	// StaleStarts counts the starts that would violate a rule but were sent to an earlier
 	// incarnation under the same ID and executed late. Until a higher fence arrives, the worker
 	// cannot know that they are void.
@@ -67,6 +75,7 @@
 // incarnations.
 func NewWorkers(seed uint64) *Workers {
 	return &Workers{
+		ListedEnds:  DefaultListedEnds,
 		Logger:      zerolog.Nop(),
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		started:     time.Now(),
--- a/jobs/leader/golden_test.go
+++ b/jobs/leader/golden_test.go
@@ -91,14 +91,22 @@
 // TestGoldenPoll checks the encoding of polls.
 func TestGoldenPoll(t *testing.T) {
 	poll := goldenPoll()
-	poll.State.Version = "v1"
-	goldentest.JSON(t, "poll-versioned", poll)
+	poll.State.Version, poll.Partial = "v1", true
+	goldentest.JSON(t, "poll-partial", poll)
 }
 
-// TestGoldenPollWithoutVersion: a poll of an agent that doesn't pass the worker's version on is
-// still read, and written as before.
-func TestGoldenPollWithoutVersion(t *testing.T) {
-	for name, want := range map[string]assignment.Poll{"poll.json": goldenPoll(), "poll-defaults.json": {}} {
+// TestGoldenPollOfOlderAgents: a poll of an agent that doesn't pass the worker's version on, or
+// doesn't tell partial lists apart, is still read, and written as before.
+func TestGoldenPollOfOlderAgents(t *testing.T) {
+	versioned := goldenPoll()
+	versioned.State.Version = "v1"
+	polls := map[string]assignment.Poll{
+		"poll.json":                    goldenPoll(),
+		"poll-defaults.json":           {},
+		"poll-versioned.json":          versioned,
+		"poll-versioned-defaults.json": {},
+	}
+	for name, want := range polls {
 		encoded, err := json.Marshal(want)
 		if err != nil {
 			t.Fatal(err)
--- a/jobs/runner/answer.go
+++ b/jobs/runner/answer.go
@@ -58,7 +58,8 @@
 // worker runs. The lock must be held.
 func (r *Runner) applyFence(fence int64) {
 	if fence > r.leader.fence {
-		r.leader.fence, r.present.complete = fence, false
+		r.leader.fence = fence
+		r.present.complete, r.present.endsListed = false, false
 		signal(r.extend)
 	}
 }
--- a/jobs/runner/contact.go
+++ b/jobs/runner/contact.go
@@ -138,7 +138,7 @@
 	r.dependencies.Logger.Warn().Str("step", "runner.judgeSilence").Stringer("life", r.worker.ID).
 		Int("runs", len(runs.known)).Msg("worker is unresponsive and its lease has expired; abandoning its runs")
 	for id, k := range runs.known {
-		if k.maybeRunning() {
+		if k.maybeRunning() && !k.awaitsEnd {
 			runs.abandoned[id] = k.running
 		}
 		r.refuse(assignment.Refusal{
--- a/jobs/runner/delta.go
+++ b/jobs/runner/delta.go
@@ -79,8 +79,8 @@
 }
 
 // reportsNoEvents reports whether a poll contains no ends, refusals, ended incarnations, open
-// starts or failures.
+// starts or failures, and is not partial.
 func reportsNoEvents(p assignment.Poll) bool {
 	events := len(p.Ends) + len(p.Refused) + len(p.EndedIncarnations) + len(p.ClosingIncarnations) + len(p.OpenStarts)
-	return events == 0 && !p.Unresponsive && p.FailingMillis == 0 && p.RefusedFence == 0 && p.NoStartsMillis == 0
+	return events == 0 && !p.Partial && !p.Unresponsive && p.FailingMillis == 0 && p.RefusedFence == 0 && p.NoStartsMillis == 0
 }
--- a/jobs/runner/golden_test.go
+++ b/jobs/runner/golden_test.go
@@ -221,6 +221,7 @@
 		w.set(func(w *scriptedWorker) {
 			w.listing = runner.Listing{Ends: []assignment.End{{RunID: id(9), Number: 2, Reason: job.EndDone}}}
 		})
+		w.set(func(w *scriptedWorker) { w.listing.EndsOmitted = true })
 		w.set(func(w *scriptedWorker) { w.listing = runner.Listing{Runs: listed(10)} })
 		w.set(func(w *scriptedWorker) { w.err = errors.New("no answer") })
 		time.Sleep(3 * lease)
--- a/jobs/runner/listing.go
+++ b/jobs/runner/listing.go
@@ -6,13 +6,13 @@
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
 )
 
-// applyListing applies a list from the worker. Runs that were running when the list was requested
-// and that it does not contain have ended. Their ends are in the same list, or can no longer be
-// read. The lock must be held.
-func (r *Runner) applyListing(l Listing, running map[assignment.RunID]bool) {
+// applyListing applies the list of a sync that was sent at a given time, when the given runs were
+// running. Those that it does not contain have ended. Their ends are in the same list, are omitted
+// from it, or can no longer be read. The lock must be held.
+func (r *Runner) applyListing(l Listing, sent time.Time, running map[assignment.RunID]bool) {
 	r.recordUnreadable(l)
-	changed := !r.present.complete
-	r.present.complete = true
+	r.recordOmitted(l)
+	changed := r.present.recordListing(l, sent)
 	if l.readable() && r.former.voidOrders() {
 		signal(r.report)
 	}
@@ -77,17 +77,23 @@
 		Str("how", string(e.Reason)).Int64("number", e.Number).Msg("run ended")
 }
 
-// dropUnlisted marks as ended the runs that are missing from the worker's list. The lock must be
-// held.
+// dropUnlisted marks as ended the runs that are missing from the worker's list. If the list omits
+// ends, theirs may be among them, and the runs are kept until a later list shows it. The lock must
+// be held.
 func (r *Runner) dropUnlisted(l Listing, running map[assignment.RunID]bool) {
 	listed := make(map[assignment.RunID]bool, len(l.Runs))
 	for _, run := range l.Runs {
 		listed[run.RunID] = true
 	}
 	for id := range running {
-		if k := r.present.runs.known[id]; k != nil && k.running && !listed[id] {
+		k := r.present.runs.known[id]
+		switch {
+		case k == nil || !k.running || listed[id]:
+		case l.showsAll():
 			r.recordVanishedRun(id, l)
 			r.present.runs.end(id)
+		default:
+			k.awaitsEnd = true
 		}
 	}
 }
@@ -104,6 +110,20 @@
 	r.unreadableRows = !l.readable()
 }
 
+// recordOmitted counts the lists that may omit ends, and logs the first one of a series. The lock
+// must be held.
+func (r *Runner) recordOmitted(l Listing) {
+	if l.EndsOmitted {
+		r.metrics.cutLists.Inc(1)
+	}
+	if l.EndsOmitted && !r.endsOmitted {
+		r.dependencies.Logger.Warn().Str("step", "runner.list").Stringer("life", r.worker.ID).
+			Int("ends", len(l.Ends)).Int64("read_up_to", r.present.ends.acked).
+			Msg("worker's list may omit ends; waiting for the leader to store those that it contains")
+	}
+	r.endsOmitted = l.EndsOmitted
+}
+
 // recordSkippedEnd logs and counts an end whose number is already acknowledged although this agent
 // has not read it. The lock must be held.
 func (r *Runner) recordSkippedEnd(e assignment.End) {
--- a/jobs/runner/open_orders.go
+++ b/jobs/runner/open_orders.go
@@ -99,12 +99,12 @@
 	}
 }
 
-// close drops the starts whose outcome is settled. listedAt is when the newest list was requested;
-// that list shows everything that was carried out before. Without a list, a run that was started
+// close drops the starts whose outcome is settled. allListedAt is when the newest list was requested
+// that shows everything that was carried out before. Without such a list, a run that was started
 // late ends with its lease, which lasts at most the given duration.
-func (o *openOrders) close(now, listedAt time.Time, lease time.Duration) {
+func (o *openOrders) close(now, allListedAt time.Time, lease time.Duration) {
 	for id, start := range o.starts {
-		listed := listedAt.After(start.until)
+		listed := allListedAt.After(start.until)
 		if start.underWay == 0 && (listed || now.After(start.until.Add(lease))) {
 			delete(o.starts, id)
 		}
@@ -124,7 +124,7 @@
 // openStarts lists the open starts for a poll. The lock must be held.
 func (r *Runner) openStarts(now time.Time) []assignment.OpenStart {
 	lease := r.longestLateLease()
-	r.open.close(now, r.present.listedAt, lease)
+	r.open.close(now, r.present.allListedAt, lease)
 	var starts []assignment.OpenStart
 	for id, start := range r.open.starts {
 		until := start.until
--- a/jobs/runner/poll.go
+++ b/jobs/runner/poll.go
@@ -109,6 +109,7 @@
 	if !p.Complete {
 		return p, r.generation
 	}
+	p.Partial = r.present.partial()
 	p.Runs = r.present.runs.report(now)
 	p.Ends = r.present.ends.list()
 	for _, refused := range r.present.refusals {
--- a/jobs/runner/runner.go
+++ b/jobs/runner/runner.go
@@ -102,6 +102,8 @@
 	rejectedIdentity identity
 	// unreadableRows is set while the newest list has rows that cannot be read.
 	unreadableRows bool
+	// endsOmitted is set while the newest list may omit ends.
+	endsOmitted bool
 
 	// report triggers a poll, extend a sync, and shared the throttling of best-effort runs.
 	report, extend, shared chan struct{}
--- a/jobs/runner/runs.go
+++ b/jobs/runner/runs.go
@@ -25,6 +25,9 @@
 	// uncertainAt is when a start returned without its outcome being known; zero if none did.
 	uncertainAt time.Time
 	stopping    bool
+	// awaitsEnd is set once the worker no longer lists the run as running, but omits ends from its
+	// list. The run has ended; how is not known yet.
+	awaitsEnd bool
 	// startedAt is when the worker confirmed the start; zero if another process of the agent
 	// ordered it.
 	startedAt time.Time
@@ -103,11 +106,12 @@
 }
 
 // interrupted lists, sorted by task name, the runs that ended or may have ended with the worker.
-// Ages are as of lastContact.
+// Runs that had ended before, although their ends have not been listed, are not among them. Ages are
+// as of lastContact.
 func (t *runTable) interrupted(lastContact time.Time) []assignment.InterruptedRun {
 	var runs []assignment.InterruptedRun
 	for id, k := range t.known {
-		if k.maybeRunning() {
+		if k.maybeRunning() && !k.awaitsEnd {
 			runs = append(runs, assignment.InterruptedRun{
 				RunID:     id,
 				Started:   k.running,
--- a/jobs/runner/starts.go
+++ b/jobs/runner/starts.go
@@ -99,9 +99,13 @@
 }
 
 // prepareStart decides whether a start may be sent now. It requires a fence, a lease that has not
-// expired, a recent enough proof that the zone is not cordoned, a leader that knows the worker's
-// capacity, no earlier attempt with an unknown outcome, an immediately preceding answer from the
-// worker if the task is a suspect, and no open sync that may let the worker forget ends.
+// expired, a list of all ends of the worker, a recent enough proof that the zone is not cordoned, a
+// leader that knows the worker's capacity, no earlier attempt with an unknown outcome, an
+// immediately preceding answer from the worker if the task is a suspect, and no open sync that may
+// let the worker forget ends.
+//
+// Without the list of all ends, the run may be one that another process of the agent started and
+// that has ended.
 func (r *Runner) prepareStart(s *pendingStart) startAttempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,7 +122,7 @@
 	}
 	resolved := r.outcomeKnown(k)
 	attempt := startAttempt{order: order, until: until, repeated: k.ordered, wait: retryPause}
-	attempt.allowed = fenced && leased && open && r.capacityCurrent(now) && resolved
+	attempt.allowed = fenced && leased && r.present.endsListed && open && r.capacityCurrent(now) && resolved
 	switch {
 	case !attempt.allowed:
 	case s.Suspect && !s.confirmed:
--- a/jobs/runner/state.go
+++ b/jobs/runner/state.go
@@ -14,10 +14,13 @@
 	refusals map[assignment.RunID]refusal
 	// complete is set once the worker has listed its runs under the newest fence.
 	complete bool
-	// listedAt is the send time of the latest sync whose list has been applied.
-	listedAt time.Time
-	contact  contact
-	clock    workerClock
+	// endsListed is set once the worker has listed all its ends under the newest fence.
+	endsListed bool
+	// listedAt is the send time of the latest sync whose list has been applied, and allListedAt that
+	// of the latest one whose list showed everything.
+	listedAt, allListedAt time.Time
+	contact               contact
+	clock                 workerClock
 	// leaseSent is the latest lease end that the worker may have received.
 	leaseSent time.Time
 	// drainsAt is the earliest time at which a draining worker may shut down.
@@ -37,6 +40,30 @@
 	}
 }
 
+// partial reports whether the newest list does not show everything that the worker holds.
+func (s *incarnationState) partial() bool { return s.allListedAt.Before(s.listedAt) }
+
+// recordListing records the list of a sync that was sent at a given time. It reports whether it is
+// the first list under the newest fence.
+func (s *incarnationState) recordListing(l Listing, sent time.Time) (first bool) {
+	first = !s.complete
+	s.complete = true
+	s.endsListed = s.endsListed || !l.EndsOmitted
+	s.listedAt = latest(s.listedAt, sent)
+	if l.showsAll() {
+		s.allListedAt = latest(s.allListedAt, sent)
+	}
+	return first
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // refusal is a run that never starts on this worker. It is reported until the leader has
 // acknowledged a poll with a number above since.
 type refusal struct {
--- a/jobs/runner/stops.go
+++ b/jobs/runner/stops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"yarrowgrade.example/yarrowgrade/internal/pause"
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
@@ -45,6 +46,8 @@
 	generation int
 	// reason is the reason for the refusal if the run turns out never to have been on the worker.
 	reason string
+	// accepted is set once the worker has accepted the stop.
+	accepted bool
 }
 
 // beginStop stops a run in the background. If the run turns out never to have been on the worker,
@@ -58,17 +61,17 @@
 		k = newRun()
 		r.present.runs.known[id] = k
 	}
-	if k.stopping {
+	if k.stopping || k.awaitsEnd {
 		return
 	}
 	k.stopping = true
-	pending := pendingStop{RunID: id, generation: r.generation, reason: reason}
+	pending := &pendingStop{RunID: id, generation: r.generation, reason: reason}
 	r.background.Go(func() { r.stop(ctx, pending) })
 }
 
 // stop retries until the worker has accepted the stop, and then finds out whether the run was on
 // the worker at all.
-func (r *Runner) stop(ctx context.Context, s pendingStop) {
+func (r *Runner) stop(ctx context.Context, s *pendingStop) {
 	for ctx.Err() == nil {
 		order, ok, obsolete := r.prepareStop(s)
 		if obsolete {
@@ -83,7 +86,7 @@
 
 // prepareStop returns the order to send, and false if there is none. A stop is obsolete once the
 // run has ended.
-func (r *Runner) prepareStop(s pendingStop) (order Order, ok, obsolete bool) {
+func (r *Runner) prepareStop(s *pendingStop) (order Order, ok, obsolete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	order, ok = r.order()
@@ -92,25 +95,29 @@
 
 // stopObsolete reports whether the run to stop, or its incarnation, has ended. The lock must be
 // held.
-func (r *Runner) stopObsolete(s pendingStop) bool {
+func (r *Runner) stopObsolete(s *pendingStop) bool {
 	return s.generation != r.generation || r.present.runs.known[s.RunID] == nil
 }
 
-// tryStop sends a stop, and reports whether there is nothing left to try.
-func (r *Runner) tryStop(ctx context.Context, s pendingStop, order Order) (done bool) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	clock, err := r.dependencies.Worker.Stop(call, order, s.RunID)
-	cancel()
-	r.metrics.stops.Inc(outcomeOf(err))
-	if !r.applyStop(s, order, clock, err) {
-		return true
+// tryStop sends a stop unless the worker has accepted it before, and reports whether there is
+// nothing left to try.
+func (r *Runner) tryStop(ctx context.Context, s *pendingStop, order Order) (done bool) {
+	if !s.accepted {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		clock, err := r.dependencies.Worker.Stop(call, order, s.RunID)
+		cancel()
+		r.metrics.stops.Inc(outcomeOf(err))
+		if !r.applyStop(s, order, clock, err) {
+			return true
+		}
+		s.accepted = err == nil
 	}
-	return err == nil && r.confirmStop(ctx, s)
+	return s.accepted && r.confirmStop(ctx, s)
 }
 
 // applyStop applies the answer to a stop. It returns false if the incarnation ended before the
 // answer arrived.
-func (r *Runner) applyStop(s pendingStop, order Order, clock int64, err error) bool {
+func (r *Runner) applyStop(s *pendingStop, order Order, clock int64, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.generation != r.generation {
@@ -126,15 +133,18 @@
 }
 
 // confirmStop asks the worker whether a stopped run is still running, and reports whether the
-// answer is conclusive. A run that is neither running nor among the ends has not started and never
-// will.
-func (r *Runner) confirmStop(ctx context.Context, s pendingStop) (done bool) {
+// answer is conclusive. If a list that shows everything contains neither the run nor its end, the
+// run has not started and never will. While lists are partial, confirmStop waits for the sync loop
+// to read the rest: many stops may be waiting, and a list of their own would show none of them more.
+func (r *Runner) confirmStop(ctx context.Context, s *pendingStop) (done bool) {
 	r.mu.Lock()
 	order, ok := r.order()
+	ok = ok && !r.present.partial()
 	r.mu.Unlock()
 	if !ok {
 		return false
 	}
+	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	list, clock, err := r.sync(call, syncCall{order: order})
@@ -158,8 +168,8 @@
 			return true
 		}
 	}
-	r.applyListing(list, nil)
-	if !list.readable() {
+	r.applyListing(list, sent, nil)
+	if !list.showsAll() {
 		return false
 	}
 	if r.present.runs.known[s.RunID] != nil {
--- a/jobs/runner/sync.go
+++ b/jobs/runner/sync.go
@@ -154,9 +154,6 @@
 		// A lease can be granted only now that the worker's clock is known.
 		signal(r.extend)
 	}
-	r.applyListing(list, call.running)
-	if call.at.After(r.present.listedAt) {
-		r.present.listedAt = call.at
-	}
+	r.applyListing(list, call.at, call.running)
 	return true
 }
--- a/jobs/runner/worker.go
+++ b/jobs/runner/worker.go
@@ -24,15 +24,25 @@
 	// StartMillis identifies the incarnation that made the list; see incarnation.ID.
 	StartMillis int64
 	Runs        []assignment.Run
-	Ends        []assignment.End
+	// Ends holds the ends with the lowest numbers. The worker limits how many it lists at a time;
+	// runs are never omitted.
+	Ends []assignment.End
+	// EndsOmitted is set if the worker may have more ends than Ends contains.
+	EndsOmitted bool
 	// Unreadable contains an error for each row that could not be read. A run that is missing from
 	// the list may be in one of these rows.
 	Unreadable []error
 }
 
-// readable reports whether all rows could be read, so that a missing run is not on the worker.
+// readable reports whether all rows could be read, so that a run that is missing from Runs is not
+// running. It may still have an end that is not listed.
 func (l Listing) readable() bool { return len(l.Unreadable) == 0 }
 
+// showsAll reports whether the list shows everything that the worker holds, so that a run that is
+// neither in Runs nor in Ends has not started, or its end was forgotten. Whatever follows from the
+// absence of a run must follow from such a list.
+func (l Listing) showsAll() bool { return l.readable() && !l.EndsOmitted }
+
 // Worker is the worker on the agent's box. Times are in milliseconds by the worker's clock: each
 // answer carries its reading, and leases end by it.
 type Worker interface {
