A start of a former leader is no longer sent under the next one

What callers saw: tasks of a job started up to 4.3 s after the cancel of the job was acknowledged, where a worker broke off calls while the leader was replaced, and worked until the next leader's stop.

Cause: a start that waits at an agent did not belong to the leader that had ordered it. It was sent with the fence of whoever led when the worker answered again. The next leader could not take it back: it gives orders only once the worker has listed its runs under the new fence.

Change: a start belongs to the leader's session with the agent, its term and its fence. When the session ends, the start is withdrawn. A run that was never sent is forgotten. One that may have been carried out stays known and is reported until a list that shows everything, made under a higher fence, shows whether it was. The next leader orders it again if it wants it. Stops are still carried out under later leaders: they end one run at most, and withdrawn they would let the run of a cancelled job go on.

Why this works: every start is now sent with the fence of the leader that ordered it, or not at all, so that the worker refuses it once it has seen a newer fence; and a leader can stop each of its own starts.

--- a/jobs/jobtest/orders.go
+++ b/jobs/jobtest/orders.go
@@ -10,7 +10,10 @@
 	"yarrowgrade.example/yarrowgrade/jobs/runner"
 )
 
-var errLost = errors.New("the answer was lost")
+var (
+	errLost      = errors.New("the answer was lost")
+	errBrokenOff = errors.New("the worker broke off the call")
+)
 
 // order applies the worker's faults to an order, and executes it now or later.
 func (w *Worker) order(ctx context.Context, o runner.Order, apply func() error) (int64, error) {
@@ -22,6 +25,9 @@
 	if !w.up || w.unreachable {
 		return 0, w.unavailable(ctx)
 	}
+	if w.failing {
+		return 0, errBrokenOff
+	}
 	if w.workers.random.Float64() < w.lateShare {
 		return 0, w.executeAfter(ctx, time.Duration(2+w.workers.random.IntN(10))*time.Second, o, apply)
 	}
@@ -201,6 +207,10 @@
 			w.workers.mu.Unlock()
 			return l, 0, err
 		}
+		if w.failing {
+			w.workers.mu.Unlock()
+			return l, 0, errBrokenOff
+		}
 		l, clock = w.listing(), w.clock(time.Now())
 		w.workers.mu.Unlock()
 		if len(l.Ends) > 0 || waited >= wait {
--- a/jobs/jobtest/rules.go
+++ b/jobs/jobtest/rules.go
@@ -56,11 +56,35 @@
 	if j.MaxAttempts > 0 && len(ws.failures[s.Task]) >= j.MaxAttempts && !step.LongRunning {
 		ws.addViolation("BUDGET: %v run %d starts after %d failures", s.Task, s.Run, len(ws.failures[s.Task]))
 	}
+	ws.checkCancel(w, s)
 	if s.Spec != j.Spec {
 		ws.addViolation("UNASKED: %v starts with the spec %q", s.Task, s.Spec)
 	}
 }
 
+// CancelBound is the time after the acknowledgement of a cancel within which tasks of the job may
+// still start.
+const CancelBound = 3 * time.Second
+
+// Cancel records that the cancel of a job was acknowledged. It must be called only while no fault
+// excuses late starts: the store and the agents work.
+func (ws *Workers) Cancel(id job.ID) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	if _, ok := ws.cancelled[id]; !ok {
+		ws.cancelled[id] = time.Now()
+	}
+}
+
+// checkCancel checks a start of a task whose job may have been cancelled. Orders that the worker
+// executes late are excused.
+func (ws *Workers) checkCancel(w *Worker, s assignment.Start) {
+	at, ok := ws.cancelled[s.Task.Job]
+	if since := time.Since(at); ok && since > CancelBound && !w.executingLate {
+		ws.addViolation("UNASKED: %v run %d starts on %s %v after its job was cancelled", s.Task, s.Run, w.name, since)
+	}
+}
+
 // checkMaxPerWorker checks that the worker has no more tasks of a step than the step allows.
 func (ws *Workers) checkMaxPerWorker(w *Worker, s assignment.Start, step job.Step) {
 	if step.MaxPerWorker == 0 {
--- a/jobs/jobtest/worker.go
+++ b/jobs/jobtest/worker.go
@@ -35,8 +35,10 @@
 	formerCapacities []formerCapacity
 	// refusing makes calls fail at once while the worker is down; otherwise they get no response.
 	refusing bool
-	// unreachable drops the agent's calls.
+	// unreachable drops the agent's calls, and the worker's heartbeats with them.
 	unreachable bool
+	// failing breaks off the agent's calls without effect; heartbeats continue.
+	failing bool
 	// lateShare is the share of orders that get no response and are executed later; executingLate
 	// is set while such an order is executed.
 	lateShare     float64
@@ -111,6 +113,13 @@
 	w.unreachable = lost
 }
 
+// SetFailing breaks off the agent's calls while failing is true. Runs and heartbeats continue.
+func (w *Worker) SetFailing(failing bool) {
+	w.workers.mu.Lock()
+	defer w.workers.mu.Unlock()
+	w.failing = failing
+}
+
 // SetLate makes a share of the orders get no response and execute late.
 func (w *Worker) SetLate(share float64) {
 	w.workers.mu.Lock()
@@ -139,7 +148,7 @@
 func (w *Worker) Heal() {
 	w.workers.mu.Lock()
 	defer w.workers.mu.Unlock()
-	w.unreachable, w.lateShare = false, 0
+	w.unreachable, w.failing, w.lateShare = false, false, 0
 }
 
 // Heartbeat returns the state that a heartbeat of the worker reports, and false while the worker
--- a/jobs/jobtest/workers.go
+++ b/jobs/jobtest/workers.go
@@ -60,6 +60,8 @@
 	everStarted map[job.ID]bool
 	// lastEnd holds the time at which a run of each job last ended.
 	lastEnd map[job.ID]time.Time
+	// cancelled holds the times at which the cancels of jobs were acknowledged.
+	cancelled map[job.ID]time.Time
 	// cordoned holds the cordoned availability zones and the times at which their cordons were
 	// acknowledged.
 	cordoned map[string]time.Time
@@ -86,6 +88,7 @@
 		failures:    map[job.TaskName]map[int]bool{},
 		everStarted: map[job.ID]bool{},
 		lastEnd:     map[job.ID]time.Time{},
+		cancelled:   map[job.ID]time.Time{},
 		cordoned:    map[string]time.Time{},
 		startsIn:    map[string]int{},
 		crashers:    map[job.TaskName]crasher{},
--- a/jobs/runner/answer.go
+++ b/jobs/runner/answer.go
@@ -90,7 +90,10 @@
 	}
 }
 
-// applyOrders begins the starts and stops that the leader has ordered. The lock must be held.
+// applyOrders begins the starts and stops that the leader has ordered. A start is given up once the
+// session of the answer has ended. A stop is carried out under later leaders too: it ends one run at
+// most, which they can place again, while a stop that is given up would let the run of a cancelled
+// job go on. The lock must be held.
 func (r *Runner) applyOrders(ctx context.Context, a assignment.Answer) {
 	for _, id := range a.Stop {
 		if !r.present.runs.hasEnded(id) {
@@ -105,6 +108,6 @@
 		r.beginStop(ctx, id, reasonStopped)
 	}
 	for _, s := range a.Start {
-		r.beginStart(ctx, s)
+		r.beginStart(ctx, s, sessionOf(a))
 	}
 }
--- a/jobs/runner/golden_test.go
+++ b/jobs/runner/golden_test.go
@@ -201,6 +201,8 @@
 		}
 
 		start(1)
+		o.set(func(a *assignment.Answer) { a.Term, a.Fence = 2, 2 })
+		time.Sleep(time.Second)
 		o.set(func(a *assignment.Answer) { a.ZoneOpen = true })
 		w.set(func(w *scriptedWorker) { w.listing.Runs = listed(1) })
 		start(1)
--- a/jobs/runner/listing.go
+++ b/jobs/runner/listing.go
@@ -6,8 +6,8 @@
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
 )
 
-// applyListing applies the list of a sync that was sent at a given time, when the given runs were
-// running. Those that it does not contain have ended. Their ends are in the same list, are omitted
+// applyListing applies the list of a sync that was sent with the present fence at a given time, when
+// the given runs were running. Those that it does not contain have ended. Their ends are in the same list, are omitted
 // from it, or can no longer be read. The lock must be held.
 func (r *Runner) applyListing(l Listing, sent time.Time, running map[assignment.RunID]bool) {
 	r.recordUnreadable(l)
@@ -22,6 +22,9 @@
 	if l.readable() {
 		r.dropUnlisted(l, running)
 	}
+	if l.showsAll() {
+		changed = r.present.runs.dropWithdrawn(r.orderFence()) || changed
+	}
 	if changed {
 		signal(r.report)
 	}
--- a/jobs/runner/metrics.go
+++ b/jobs/runner/metrics.go
@@ -61,6 +61,9 @@
 	ends telemetry.Counters[job.EndReason]
 	// zoneWaits counts the starts that had to wait for a proof that the zone is not cordoned.
 	zoneWaits tally.Counter
+	// startsWithdrawn counts the starts that were given up because the session in which they were
+	// ordered has ended.
+	startsWithdrawn tally.Counter
 	// skippedEnds counts the unread ends that were skipped because their numbers were already
 	// acknowledged.
 	skippedEnds tally.Counter
@@ -89,6 +92,7 @@
 		syncs:                counters("holds"),
 		polls:                counters("polls"),
 		zoneWaits:            scope.Counter("starts_held_for_cordon"),
+		startsWithdrawn:      scope.Counter("starts_withdrawn"),
 		skippedEnds:          scope.Counter("ends_passed_over"),
 		vanishedRuns:         scope.Counter("runs_gone_without_end"),
 		cutLists:             scope.Counter("lists_without_all_ends"),
--- a/jobs/runner/partial_lists_test.go
+++ b/jobs/runner/partial_lists_test.go
@@ -102,7 +102,8 @@
 			stored[e.RunID] = true
 			a.leader.set(func(answer *assignment.Answer) {
 				answer.AckedEnd = max(answer.AckedEnd, e.Number)
-				answer.Start = slices.DeleteFunc(answer.Start, func(s assignment.Start) bool { return stored[s.RunID] })
+				isStored := func(s assignment.Start) bool { return stored[s.RunID] }
+				answer.Start = slices.DeleteFunc(slices.Clone(answer.Start), isStored)
 			})
 		}
 		time.Sleep(200 * time.Millisecond)
--- a/jobs/runner/runs.go
+++ b/jobs/runner/runs.go
@@ -20,8 +20,13 @@
 	percent int
 	// latencyMillis is the tail latency that the worker reports for the run; see assignment.Run.
 	latencyMillis int
-	// ordered is set while a start has been sent, or is being sent, and may have been carried out.
+	// ordered is set while a start has been sent, or is being sent, and may have been carried out;
+	// fence is the fence of the latest attempt.
 	ordered bool
+	fence   int64
+	// withdrawn is set once the start is no longer sent because its session has ended, although an
+	// earlier attempt may have been carried out.
+	withdrawn bool
 	// uncertainAt is when a start returned without its outcome being known; zero if none did.
 	uncertainAt time.Time
 	stopping    bool
@@ -84,6 +89,20 @@
 	t.ended[id.Task] = max(t.ended[id.Task], id.Run)
 }
 
+// dropWithdrawn drops the runs whose starts were withdrawn and that the worker does not list, if it
+// has listed everything under a given fence. It refuses any attempt with a lower fence that has not
+// arrived yet, so these runs never start, unless they are ordered again. dropWithdrawn reports
+// whether there were any.
+func (t *runTable) dropWithdrawn(fence int64) (dropped bool) {
+	for id, k := range t.known {
+		if k.withdrawn && !k.running && !k.stopping && k.fence < fence {
+			delete(t.known, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
 // running returns the runs that the worker has confirmed.
 func (t *runTable) running() map[assignment.RunID]bool {
 	running := make(map[assignment.RunID]bool, len(t.known))
--- a/jobs/runner/starts.go
+++ b/jobs/runner/starts.go
@@ -33,6 +33,8 @@
 type pendingStart struct {
 	assignment.Start
 	generation int
+	// session is the session in which the start was ordered.
+	session leaderSession
 	// unavailable counts the attempts at which the worker was unavailable.
 	unavailable int
 	// confirmed is set if the worker has answered immediately before the attempt.
@@ -41,8 +43,9 @@
 	zoneLogged bool
 }
 
-// beginStart starts a run in the background unless it is already known. The lock must be held.
-func (r *Runner) beginStart(ctx context.Context, s assignment.Start) {
+// beginStart starts a run in the background, as ordered in a session, unless it is already known.
+// The lock must be held.
+func (r *Runner) beginStart(ctx context.Context, s assignment.Start, session leaderSession) {
 	if r.worker == nil || r.present.runs.known[s.RunID] != nil {
 		return
 	}
@@ -55,7 +58,7 @@
 		return
 	}
 	r.present.runs.known[s.RunID] = newRun()
-	pending := &pendingStart{Start: s, generation: r.generation}
+	pending := &pendingStart{Start: s, generation: r.generation, session: session}
 	r.background.Go(func() { r.start(ctx, pending) })
 }
 
@@ -81,8 +84,8 @@
 // startAttempt is the decision whether a start may be sent now, together with the arguments of the
 // call.
 type startAttempt struct {
-	// obsolete is set if there is nothing left to do: the run is running or stopping, or its
-	// incarnation has ended.
+	// obsolete is set if there is nothing left to do: the run is running or stopping, its incarnation
+	// has ended, or the session in which it was ordered has ended.
 	obsolete bool
 	allowed  bool
 	// confirm is set if the worker has to answer a sync first.
@@ -116,6 +119,10 @@
 	if s.generation != r.generation || k == nil || k.running || k.stopping {
 		return startAttempt{obsolete: true}
 	}
+	if s.session != r.session() {
+		r.withdrawStart(s, k)
+		return startAttempt{obsolete: true}
+	}
 	open := r.zoneOpen(now)
 	if fenced && !open {
 		r.recordZoneWait(s)
@@ -133,7 +140,7 @@
 			attempt.wait = forgetPause
 		}
 	default:
-		k.ordered = true
+		k.ordered, k.fence = true, order.Fence
 		if attempt.tracked = r.sharesInstance(); attempt.tracked {
 			r.open.startSent(order.Incarnation.Instance, s.RunID)
 		}
@@ -141,6 +148,23 @@
 	return attempt
 }
 
+// withdrawStart gives up a start whose session has ended. The next leader may not want the run any
+// more, and cannot stop it before the agent has described the worker to it. If an earlier attempt may
+// have been carried out, the run stays known until a list shows whether it was. The lock must be
+// held.
+func (r *Runner) withdrawStart(s *pendingStart, k *run) {
+	r.metrics.startsWithdrawn.Inc(1)
+	r.dependencies.Logger.Info().Str("step", "runner.start").Stringer("task", s.Task).Int("run", s.Run).
+		Int64("term", s.session.term).Int64("fence", s.session.fence).Bool("sent", k.ordered).
+		Msg("start withdrawn; it was ordered in a former session with a leader")
+	if k.ordered {
+		k.withdrawn = true
+	} else {
+		delete(r.present.runs.known, s.RunID)
+	}
+	signal(r.report)
+}
+
 // zoneOpen reports whether the proof that the worker's zone is not cordoned is recent enough. The
 // lock must be held.
 func (r *Runner) zoneOpen(now time.Time) bool {
