Request a list at once when a start is withdrawn

Cause: a withdrawn start that may have been carried out stays known until the next list, which the worker holds for up to a second while no run ends.

Change: withdrawing such a start triggers a sync that is not held.

--- a/jobs/runner/listing.go
+++ b/jobs/runner/listing.go
@@ -7,8 +7,8 @@
 )
 
 // applyListing applies the list of a sync that was sent with the present fence at a given time, when
-// the given runs were running. Those that it does not contain have ended. Their ends are in the same list, are omitted
-// from it, or can no longer be read. The lock must be held.
+// the given runs were running. Those that it does not contain have ended. Their ends are in the same
+// list, are omitted from it, or can no longer be read. The lock must be held.
 func (r *Runner) applyListing(l Listing, sent time.Time, running map[assignment.RunID]bool) {
 	r.recordUnreadable(l)
 	r.recordOmitted(l)
--- a/jobs/runner/starts.go
+++ b/jobs/runner/starts.go
@@ -159,6 +159,7 @@
 		Msg("start withdrawn; it was ordered in a former session with a leader")
 	if k.ordered {
 		k.withdrawn = true
+		signal(r.extend)
 	} else {
 		delete(r.present.runs.known, s.RunID)
 	}
