Fake workers: calls that fail, lost and overtaking answers

Cause: held against the platform's description of workers, the fake ones were still kinder. They never answered that they are unavailable, an unanswered call was never carried out at once, and answers never overtook one another.

--- a/jobs/jobtest/cut_lists_test.go
+++ b/jobs/jobtest/cut_lists_test.go
@@ -78,8 +78,9 @@
 // maxCutList is the largest number of ends in a list on the days of TestSystemOfCutLists.
 const maxCutList = 4
 
-// TestSystemOfCutLists simulates random days on which workers list only a few ends at a time, the
-// store has outages, and agents and leaders are killed. It guards against every conclusion that is
+// TestSystemOfCutLists simulates random days on which workers list only a few ends at a time, their
+// answers overtake one another or are lost, the store has outages, and agents and leaders are
+// killed. It guards against every conclusion that is
 // drawn from the absence of a run in a list.
 func TestSystemOfCutLists(t *testing.T) {
 	for _, seed := range consecutiveSeeds((*seeds + 2) / 3) {
@@ -92,6 +93,9 @@
 			}
 			s.faultsUntil = time.Now().Add(provokedDuration + maxLastFault)
 			s.killProcesses(seed)
+			for _, w := range s.worker {
+				w.SetAnswers(0.02, time.Duration(r.IntN(200))*time.Millisecond)
+			}
 			go s.failStoreRepeatedly(r)
 		})
 	}
--- a/jobs/jobtest/orders.go
+++ b/jobs/jobtest/orders.go
@@ -10,10 +10,7 @@
 	"yarrowgrade.example/yarrowgrade/jobs/runner"
 )
 
-var (
-	errLost      = errors.New("the answer was lost")
-	errBrokenOff = errors.New("the worker broke off the call")
-)
+var errLost = errors.New("the answer was lost")
 
 // order applies the worker's faults to an order, and executes it now or later.
 func (w *Worker) order(ctx context.Context, o runner.Order, apply func() error) (int64, error) {
@@ -25,8 +22,8 @@
 	if !w.up || w.unreachable {
 		return 0, w.unavailable(ctx)
 	}
-	if w.failing {
-		return 0, errBrokenOff
+	if w.failure != nil {
+		return 0, w.failure
 	}
 	if w.workers.random.Float64() < w.lateShare {
 		return 0, w.executeAfter(ctx, time.Duration(2+w.workers.random.IntN(10))*time.Second, o, apply)
@@ -34,6 +31,35 @@
 	return w.clock(time.Now()), w.execute(o, apply)
 }
 
+// call is order followed by the delivery of the answer.
+func (w *Worker) call(ctx context.Context, o runner.Order, apply func() error) (int64, error) {
+	clock, err := w.order(ctx, o, apply)
+	if lost := w.deliverAnswer(ctx); lost != nil {
+		return 0, lost
+	}
+	return clock, err
+}
+
+// deliverAnswer applies the faults of answers: it delays the answer, or returns an error if it is
+// lost.
+func (w *Worker) deliverAnswer(ctx context.Context) error {
+	w.workers.mu.Lock()
+	var delay time.Duration
+	if w.answerDelay > 0 {
+		delay = time.Duration(w.workers.random.Int64N(int64(w.answerDelay)))
+	}
+	lost := w.lostShare > 0 && w.workers.random.Float64() < w.lostShare
+	w.workers.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return errLost
+	}
+	if delay == 0 {
+		return nil
+	}
+	return sleep(ctx, delay)
+}
+
 // executeAfter executes an order after a delay if the worker is up by then. It blocks until ctx
 // ends and returns errLost. The caller must hold the lock, which is released while waiting.
 func (w *Worker) executeAfter(ctx context.Context, delay time.Duration, o runner.Order, apply func() error) error {
@@ -96,7 +122,7 @@
 		return 0, w.executeAfter(ctx, w.startDelay, o, apply)
 	}
 	w.workers.mu.Unlock()
-	return w.order(ctx, o, apply)
+	return w.call(ctx, o, apply)
 }
 
 func (w *Worker) start(s assignment.Start, until int64) error {
@@ -161,7 +187,7 @@
 
 // Stop implements runner.Worker.
 func (w *Worker) Stop(ctx context.Context, o runner.Order, id assignment.RunID) (int64, error) {
-	return w.order(ctx, o, func() error {
+	return w.call(ctx, o, func() error {
 		r := w.runs[id.Task]
 		if r == nil || r.id.Run != id.Run {
 			w.highestRun[id.Task] = max(w.highestRun[id.Task], id.Run)
@@ -176,7 +202,7 @@
 
 // Throttle implements runner.Worker.
 func (w *Worker) Throttle(ctx context.Context, o runner.Order, id assignment.RunID, percent int) (int64, error) {
-	return w.order(ctx, o, func() error {
+	return w.call(ctx, o, func() error {
 		if r := w.runs[id.Task]; r != nil && r.id.Run == id.Run {
 			r.advance(time.Now())
 			r.speed = percent
@@ -207,14 +233,14 @@
 			w.workers.mu.Unlock()
 			return l, 0, err
 		}
-		if w.failing {
+		if err := w.failure; err != nil {
 			w.workers.mu.Unlock()
-			return l, 0, errBrokenOff
+			return l, 0, err
 		}
 		l, clock = w.listing(), w.clock(time.Now())
 		w.workers.mu.Unlock()
 		if len(l.Ends) > 0 || waited >= wait {
-			return l, clock, nil
+			return l, clock, w.deliverAnswer(ctx)
 		}
 		if err := sleep(ctx, tick); err != nil {
 			return l, 0, err
--- a/jobs/jobtest/takeover_cancel_test.go
+++ b/jobs/jobtest/takeover_cancel_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/jobs/job"
+	"yarrowgrade.example/yarrowgrade/jobs/jobtest"
+	"yarrowgrade.example/yarrowgrade/jobs/runner"
 )
 
 // cancelAcknowledged cancels a job at an entry, and records the acknowledgement. From CancelBound
@@ -47,7 +49,7 @@
 				s.workers.SetWork(8 * time.Second)
 				former := s.leader()
 				for _, w := range s.worker {
-					w.SetFailing(true)
+					w.SetFailure(jobtest.ErrBrokenOff)
 				}
 				j := s.simpleJob(2*workerCount, 8*time.Second)
 				s.submit(j, j.Priority)
@@ -63,7 +65,7 @@
 				}
 				time.Sleep(200 * time.Millisecond)
 				for _, w := range s.worker {
-					w.SetFailing(false)
+					w.SetFailure(nil)
 				}
 				time.Sleep(10 * time.Second)
 				if s.workers.AnyRun(j.ID) {
@@ -92,8 +94,8 @@
 	for range 5 {
 		s.workers.SetWork(milliseconds(500, 6000))
 		for _, w := range s.worker[r.IntN(workerCount):] {
-			w.SetFailing(true)
-			time.AfterFunc(milliseconds(2000, 7000), func() { w.SetFailing(false) })
+			s.failCalls(r, w)
+			time.AfterFunc(milliseconds(2000, 7000), w.Heal)
 		}
 		var jobs []*job.Job
 		for range 2 + r.IntN(4) {
@@ -118,6 +120,19 @@
 	s.check()
 }
 
+// failCalls makes a worker break off all calls, answer that it is unavailable, or execute calls
+// without an answer.
+func (s *system) failCalls(r *rand.Rand, w *jobtest.Worker) {
+	switch r.IntN(4) {
+	case 0, 1:
+		w.SetFailure(jobtest.ErrBrokenOff)
+	case 2:
+		w.SetFailure(runner.ErrUnavailable)
+	case 3:
+		w.SetAnswers(0.7, 0)
+	}
+}
+
 // replaceLeader kills the leader, freezes it for a short time, or does nothing.
 func (s *system) replaceLeader(r *rand.Rand) {
 	length := time.Duration(300+r.IntN(1700)) * time.Millisecond
--- a/jobs/jobtest/worker.go
+++ b/jobs/jobtest/worker.go
@@ -1,6 +1,7 @@
 package jobtest
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -37,8 +38,13 @@
 	refusing bool
 	// unreachable drops the agent's calls, and the worker's heartbeats with them.
 	unreachable bool
-	// failing breaks off the agent's calls without effect; heartbeats continue.
-	failing bool
+	// failure, if set, is the error with which the agent's calls fail at once and without effect;
+	// heartbeats continue.
+	failure error
+	// lostShare is the share of calls that are executed but get no answer, and answerDelay the
+	// maximum delay of an answer, so that answers overtake one another.
+	lostShare   float64
+	answerDelay time.Duration
 	// lateShare is the share of orders that get no response and are executed later; executingLate
 	// is set while such an order is executed.
 	lateShare     float64
@@ -113,11 +119,23 @@
 	w.unreachable = lost
 }
 
-// SetFailing breaks off the agent's calls while failing is true. Runs and heartbeats continue.
-func (w *Worker) SetFailing(failing bool) {
+// ErrBrokenOff is the failure of a worker that breaks off calls.
+var ErrBrokenOff = errors.New("the worker broke off the call")
+
+// SetFailure makes the agent's calls fail at once with an error, such as ErrBrokenOff or
+// runner.ErrUnavailable, until it is called with nil. Runs and heartbeats continue.
+func (w *Worker) SetFailure(failure error) {
+	w.workers.mu.Lock()
+	defer w.workers.mu.Unlock()
+	w.failure = failure
+}
+
+// SetAnswers makes a share of the calls get no answer although they are executed, and delays the
+// other answers by up to the given time.
+func (w *Worker) SetAnswers(lostShare float64, delay time.Duration) {
 	w.workers.mu.Lock()
 	defer w.workers.mu.Unlock()
-	w.failing = failing
+	w.lostShare, w.answerDelay = lostShare, delay
 }
 
 // SetLate makes a share of the orders get no response and execute late.
@@ -148,7 +166,8 @@
 func (w *Worker) Heal() {
 	w.workers.mu.Lock()
 	defer w.workers.mu.Unlock()
-	w.unreachable, w.failing, w.lateShare = false, false, 0
+	w.unreachable, w.failure, w.lateShare = false, nil, 0
+	w.lostShare, w.answerDelay = 0, 0
 }
 
 // Heartbeat returns the state that a heartbeat of the worker reports, and false while the worker
--- a/jobs/runner/sessions_test.go
+++ b/jobs/runner/sessions_test.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
+	"yarrowgrade.example/yarrowgrade/jobs/jobtest"
 )
 
 // orderWhileFailing makes the leader order a run while the worker breaks off all calls, so that the
 // outcome of the start is unknown.
 func (a *agent) orderWhileFailing() {
-	a.worker.SetFailing(true)
+	a.worker.SetFailure(jobtest.ErrBrokenOff)
 	a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
 	time.Sleep(500 * time.Millisecond)
 }
@@ -73,7 +74,7 @@
 // reconnectFailing makes the worker answer calls again, and lets it report its capacity.
 func (a *agent) reconnectFailing(t *testing.T) {
 	t.Helper()
-	a.worker.SetFailing(false)
+	a.worker.SetFailure(nil)
 	a.reconnect(t)
 }
 
@@ -115,7 +116,7 @@
 		a.leader.set(func(answer *assignment.Answer) { answer.Start = []assignment.Start{{RunID: id(1)}} })
 		time.Sleep(500 * time.Millisecond)
 		a.worker.DelayStarts(0)
-		a.worker.SetFailing(true)
+		a.worker.SetFailure(jobtest.ErrBrokenOff)
 		time.Sleep(time.Second)
 		a.leader.set(func(answer *assignment.Answer) { answer.Term, answer.Fence = 2, 2 })
 		time.Sleep(500 * time.Millisecond)
@@ -139,12 +140,12 @@
 		a.workers.SetWork(time.Second)
 		a.want(allStarts()...)
 		time.Sleep(500 * time.Millisecond)
-		a.worker.SetFailing(true)
+		a.worker.SetFailure(jobtest.ErrBrokenOff)
 		a.want(assignment.Start{RunID: nthRun(manyTasks)})
 		time.Sleep(500 * time.Millisecond)
 		a.leader.set(func(answer *assignment.Answer) { answer.Term, answer.Fence, answer.Start = 2, 2, nil })
 		time.Sleep(500 * time.Millisecond)
-		a.worker.SetFailing(false)
+		a.worker.SetFailure(nil)
 		time.Sleep(time.Second)
 		if p := a.leader.last(); !p.Partial || !mentions(p, nthRun(manyTasks)) {
 			t.Errorf("the poll is partial: %v, and lists the run: %v; want both", p.Partial, mentions(p, nthRun(manyTasks)))
