--- a/jobs/jobtest/orders.go
+++ b/jobs/jobtest/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/jobs/assignment"
@@ -10,8 +9,6 @@
 	"yarrowgrade.example/yarrowgrade/jobs/runner"
 )
 
-var errLost = errors.New("the answer was lost")
-
 // order applies the worker's faults to an order, and executes it now or later.
 func (w *Worker) order(ctx context.Context, o runner.Order, apply func() error) (int64, error) {
 	if err := sleep(ctx, time.Millisecond); err != nil {
@@ -40,44 +37,6 @@
 	return clock, err
 }
 
-// deliverAnswer applies the faults of answers: it delays the answer, or returns an error if it is
-// lost.
-func (w *Worker) deliverAnswer(ctx context.Context) error {
-	w.workers.mu.Lock()
-	var delay time.Duration
-	if w.answerDelay > 0 {
-		delay = time.Duration(w.workers.random.Int64N(int64(w.answerDelay)))
-	}
-	lost := w.lostShare > 0 && w.workers.random.Float64() < w.lostShare
-	w.workers.mu.Unlock()
-	if lost {
-		<-ctx.Done()
-		return errLost
-	}
-	if delay == 0 {
-		return nil
-	}
-	return sleep(ctx, delay)
-}
-
-// executeAfter executes an order after a delay if the worker is up by then. It blocks until ctx
-// ends and returns errLost. The caller must hold the lock, which is released while waiting.
-func (w *Worker) executeAfter(ctx context.Context, delay time.Duration, o runner.Order, apply func() error) error {
-	time.AfterFunc(delay, func() {
-		w.workers.mu.Lock()
-		defer w.workers.mu.Unlock()
-		if w.up {
-			w.executingLate = true
-			w.logLate(o, w.execute(o, apply))
-			w.executingLate = false
-		}
-	})
-	w.workers.mu.Unlock()
-	<-ctx.Done()
-	w.workers.mu.Lock()
-	return errLost
-}
-
 // execute checks the incarnation and the fence of an order, and then applies it. The caller must
 // hold the lock.
 func (w *Worker) execute(o runner.Order, apply func() error) error {
@@ -289,7 +248,7 @@
 	// As on the platform, a full list does not show whether there are more ends.
 	l.EndsOmitted = listed == w.workers.ListedEnds
 	if len(w.ends) > listed {
-		w.workers.CutLists++
+		w.workers.ListsOmittingEnds++
 	}
 	return l
 }
--- a/jobs/jobtest/cut_lists_test.go
+++ b/jobs/jobtest/partial_lists_test.go
@@ -57,7 +57,7 @@
 				if phase := s.phase(j.ID); phase != job.Completed {
 					t.Errorf("the job is %v, want completed", phase)
 				}
-				if s.workers.CutLists == 0 {
+				if s.workers.ListsOmittingEnds == 0 {
 					t.Error("no list omitted ends: the test is inconclusive")
 				}
 				if n := s.workers.Starts; n != tasks {
@@ -75,16 +75,16 @@
 	}
 }
 
-// maxCutList is the largest number of ends in a list on the days of TestSystemOfCutLists.
-const maxCutList = 4
+// maxListedEnds is the largest number of ends in a list on the days of TestSystemOfPartialLists.
+const maxListedEnds = 4
 
-// TestSystemOfCutLists simulates random days on which workers list only a few ends at a time, their
+// TestSystemOfPartialLists simulates random days on which workers list only a few ends at a time, their
 // answers overtake one another or are lost, the store has outages, and agents and leaders are
 // killed. It guards against every conclusion that is
 // drawn from the absence of a run in a list.
-func TestSystemOfCutLists(t *testing.T) {
+func TestSystemOfPartialLists(t *testing.T) {
 	for _, seed := range consecutiveSeeds((*seeds + 2) / 3) {
-		opts := systemOptions{sameID: sameIDShare, listedEnds: 1 + int((seed-1)%maxCutList)}
+		opts := systemOptions{sameID: sameIDShare, listedEnds: 1 + int((seed-1)%maxListedEnds)}
 		simulateSeeds(t, []uint64{seed}, opts, func(s *system, seed uint64) {
 			time.Sleep(3 * time.Second)
 			r := rand.New(rand.NewPCG(seed, 29))
--- a/jobs/jobtest/worker.go
+++ b/jobs/jobtest/worker.go
@@ -1,7 +1,6 @@
 package jobtest
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -112,48 +111,6 @@
 	w.crash(away)
 }
 
-// SetUnreachable drops the agent's calls while lost is true. Runs continue.
-func (w *Worker) SetUnreachable(lost bool) {
-	w.workers.mu.Lock()
-	defer w.workers.mu.Unlock()
-	w.unreachable = lost
-}
-
-// ErrBrokenOff is the failure of a worker that breaks off calls.
-var ErrBrokenOff = errors.New("the worker broke off the call")
-
-// SetFailure makes the agent's calls fail at once with an error, such as ErrBrokenOff or
-// runner.ErrUnavailable, until it is called with nil. Runs and heartbeats continue.
-func (w *Worker) SetFailure(failure error) {
-	w.workers.mu.Lock()
-	defer w.workers.mu.Unlock()
-	w.failure = failure
-}
-
-// SetAnswers makes a share of the calls get no answer although they are executed, and delays the
-// other answers by up to the given time.
-func (w *Worker) SetAnswers(lostShare float64, delay time.Duration) {
-	w.workers.mu.Lock()
-	defer w.workers.mu.Unlock()
-	w.lostShare, w.answerDelay = lostShare, delay
-}
-
-// SetLate makes a share of the orders get no response and execute late.
-func (w *Worker) SetLate(share float64) {
-	w.workers.mu.Lock()
-	defer w.workers.mu.Unlock()
-	w.lateShare = share
-}
-
-// DelayStarts makes starts get no response and execute after the delay; zero ends this. It returns
-// the number of delayed starts so far.
-func (w *Worker) DelayStarts(delay time.Duration) int {
-	w.workers.mu.Lock()
-	defer w.workers.mu.Unlock()
-	w.startDelay = delay
-	return w.delayedStarts
-}
-
 // Drain announces that the worker goes down after the given time. It restarts one second later.
 func (w *Worker) Drain(after time.Duration) {
 	w.workers.mu.Lock()
@@ -162,14 +119,6 @@
 	time.AfterFunc(after, func() { w.Crash(time.Second) })
 }
 
-// Heal ends the faults of the worker's link.
-func (w *Worker) Heal() {
-	w.workers.mu.Lock()
-	defer w.workers.mu.Unlock()
-	w.unreachable, w.failure, w.lateShare = false, nil, 0
-	w.lostShare, w.answerDelay = 0, 0
-}
-
 // Heartbeat returns the state that a heartbeat of the worker reports, and false while the worker
 // sends none.
 func (w *Worker) Heartbeat() (assignment.WorkerState, bool) {
--- a/jobs/jobtest/workers.go
+++ b/jobs/jobtest/workers.go
@@ -38,8 +38,8 @@
 	// Violations lists the violations of rules, and Starts counts the runs that were started.
 	Violations []string
 	Starts     int
-	// CutLists counts the lists that omitted ends.
-	CutLists int
+	// ListsOmittingEnds counts the lists that omitted ends.
+	ListsOmittingEnds int
 	// StaleStarts counts the starts that would violate a rule but were sent to an earlier
 	// incarnation under the same ID and executed late. Until a higher fence arrives, the worker
 	// cannot know that they are void.
--- a/jobs/runner/lease.go
+++ b/jobs/runner/lease.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"yarrowgrade.example/yarrowgrade/internal/suspend"
-	"yarrowgrade.example/yarrowgrade/jobs/assignment"
 )
 
 // leadership holds what the agent has received from leaders.
@@ -21,20 +20,6 @@
 	leaseUntil suspend.Instant
 }
 
-// leaderSession identifies the session of a leader with this agent: the leader's term and the fence
-// that it has given to the agent. Starts belong to the session in which they were ordered.
-type leaderSession struct{ term, fence int64 }
-
-// session returns the present session. The lock must be held.
-func (r *Runner) session() leaderSession {
-	return leaderSession{term: r.leader.term, fence: r.leader.fence}
-}
-
-// sessionOf returns the session of an answer.
-func sessionOf(a assignment.Answer) leaderSession {
-	return leaderSession{term: a.Term, fence: a.Fence}
-}
-
 // fenceIncarnationBits is the number of low bits of a fence that count the worker's incarnations.
 // The leader's fence occupies the bits above. Fences thus stay below 2^53, the largest integer that
 // every JSON reader represents exactly, for half a million terms.
--- a/jobs/runner/listing.go
+++ b/jobs/runner/listing.go
@@ -117,7 +117,7 @@
 // must be held.
 func (r *Runner) recordOmitted(l Listing) {
 	if l.EndsOmitted {
-		r.metrics.cutLists.Inc(1)
+		r.metrics.listsOmittingEnds.Inc(1)
 	}
 	if l.EndsOmitted && !r.endsOmitted {
 		r.dependencies.Logger.Warn().Str("step", "runner.list").Stringer("life", r.worker.ID).
--- a/jobs/runner/metrics.go
+++ b/jobs/runner/metrics.go
@@ -69,8 +69,8 @@
 	skippedEnds tally.Counter
 	// vanishedRuns counts the runs that disappeared from a list without an end.
 	vanishedRuns tally.Counter
-	// cutLists counts the lists that may have omitted ends.
-	cutLists tally.Counter
+	// listsOmittingEnds counts the lists that may have omitted ends.
+	listsOmittingEnds tally.Counter
 	// unreadableRows counts the rows of lists that could not be read.
 	unreadableRows tally.Counter
 	// unexpectedIdentities counts the heartbeats that were dropped because of the identity that
@@ -95,7 +95,7 @@
 		startsWithdrawn:      scope.Counter("starts_withdrawn"),
 		skippedEnds:          scope.Counter("ends_passed_over"),
 		vanishedRuns:         scope.Counter("runs_gone_without_end"),
-		cutLists:             scope.Counter("lists_without_all_ends"),
+		listsOmittingEnds:    scope.Counter("lists_omitting_ends"),
 		unreadableRows:       scope.Counter("rows_unreadable"),
 		unexpectedIdentities: scope.Counter("heartbeats_odd"),
 		superseded:           scope.Counter("superseded"),
--- a/jobs/runner/runs.go
+++ b/jobs/runner/runs.go
@@ -89,20 +89,6 @@
 	t.ended[id.Task] = max(t.ended[id.Task], id.Run)
 }
 
-// dropWithdrawn drops the runs whose starts were withdrawn and that the worker does not list, if it
-// has listed everything under a given fence. It refuses any attempt with a lower fence that has not
-// arrived yet, so these runs never start, unless they are ordered again. dropWithdrawn reports
-// whether there were any.
-func (t *runTable) dropWithdrawn(fence int64) (dropped bool) {
-	for id, k := range t.known {
-		if k.withdrawn && !k.running && !k.stopping && k.fence < fence {
-			delete(t.known, id)
-			dropped = true
-		}
-	}
-	return dropped
-}
-
 // running returns the runs that the worker has confirmed.
 func (t *runTable) running() map[assignment.RunID]bool {
 	running := make(map[assignment.RunID]bool, len(t.known))
--- a/jobs/runner/starts.go
+++ b/jobs/runner/starts.go
@@ -148,24 +148,6 @@
 	return attempt
 }
 
-// withdrawStart gives up a start whose session has ended. The next leader may not want the run any
-// more, and cannot stop it before the agent has described the worker to it. If an earlier attempt may
-// have been carried out, the run stays known until a list shows whether it was. The lock must be
-// held.
-func (r *Runner) withdrawStart(s *pendingStart, k *run) {
-	r.metrics.startsWithdrawn.Inc(1)
-	r.dependencies.Logger.Info().Str("step", "runner.start").Stringer("task", s.Task).Int("run", s.Run).
-		Int64("term", s.session.term).Int64("fence", s.session.fence).Bool("sent", k.ordered).
-		Msg("start withdrawn; it was ordered in a former session with a leader")
-	if k.ordered {
-		k.withdrawn = true
-		signal(r.extend)
-	} else {
-		delete(r.present.runs.known, s.RunID)
-	}
-	signal(r.report)
-}
-
 // zoneOpen reports whether the proof that the worker's zone is not cordoned is recent enough. The
 // lock must be held.
 func (r *Runner) zoneOpen(now time.Time) bool {
