soak: a claimed address is no longer inherited by a process that is being started

Cause: the soak tries the ports of an address by listening on them for a moment. A process that was being started at that moment, by another test of the same program, had inherited the listeners and kept the ports in use until it executed its own program. Entries then ended at their start.

Change: the ports are tried under syscall.ForkLock, which keeps processes from being started meanwhile.

--- a/cmd/soak/address.go
+++ b/cmd/soak/address.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 )
 
 // Ports of a process. Each process has its own loopback IP address.
@@ -53,7 +54,12 @@
 }
 
 // claimAddress reserves an address. It returns nil if another program listens on one of its ports.
+//
+// It holds ForkLock while the ports are tried: a process that is being started would inherit the
+// open listeners until it executes its program, and the ports would be in use for as long.
 func claimAddress(ip string) io.Closer {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	claim, err := net.Listen("tcp", hostPort(ip, claimPort))
 	if err != nil {
 		return nil
--- a/cmd/soak/address_test.go
+++ b/cmd/soak/address_test.go
@@ -1,11 +1,16 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"net"
+	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // TestTakenAddresses guards against a failed start when another program already listens on the
@@ -54,3 +59,43 @@
 		}
 	}
 }
+
+// TestClaimedPortsAreFree checks that the ports of a claimed address can be listened on although
+// other processes are being started.
+//
+// It guards against entries that end at their start because their address is in use: a process that
+// was just starting had inherited the listeners of the claim.
+func TestClaimedPortsAreFree(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var starts conc.WaitGroup
+	defer starts.Wait()
+	defer cancel()
+	for range 4 {
+		starts.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.Command("true").Run()
+			}
+		})
+	}
+	for range 200 {
+		ip, claim, err := claimIP()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := listenOnce(hostPort(ip, internalPort)); err != nil {
+			t.Errorf("a claimed address is in use: %v", err)
+		}
+		claim.Close()
+	}
+}
+
+// listenOnce listens on an address for a moment, while no process is being started.
+func listenOnce(address string) error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	return l.Close()
+}
