--- a/jobs/jobtest/partial_lists_test.go
+++ b/jobs/jobtest/partial_lists_test.go
@@ -12,7 +12,7 @@
 // TestManyEndsInOutage checks that each task runs once although, while the store is unavailable,
 // more runs end on a worker than it lists at a time, whichever processes are killed meanwhile.
 //
-// It guards against tasks that run twice because their runs are taken for over without an end.
+// It guards against tasks that run twice because runs whose ends are not listed yet count as refused.
 func TestManyEndsInOutage(t *testing.T) {
 	const (
 		outage     = 4500 * time.Millisecond
@@ -78,10 +78,9 @@
 // maxListedEnds is the largest number of ends in a list on the days of TestSystemOfPartialLists.
 const maxListedEnds = 4
 
-// TestSystemOfPartialLists simulates random days on which workers list only a few ends at a time, their
-// answers overtake one another or are lost, the store has outages, and agents and leaders are
-// killed. It guards against every conclusion that is
-// drawn from the absence of a run in a list.
+// TestSystemOfPartialLists simulates random days on which workers list only a few ends at a time,
+// their answers overtake one another or are lost, the store has outages, and agents and leaders are
+// killed. It guards against conclusions from the absence of a run in a list that omits ends.
 func TestSystemOfPartialLists(t *testing.T) {
 	for _, seed := range consecutiveSeeds((*seeds + 2) / 3) {
 		opts := systemOptions{sameID: sameIDShare, listedEnds: 1 + int((seed-1)%maxListedEnds)}
--- a/jobs/runner/delta.go
+++ b/jobs/runner/delta.go
@@ -82,5 +82,6 @@
 // starts or failures, and is not partial.
 func reportsNoEvents(p assignment.Poll) bool {
 	events := len(p.Ends) + len(p.Refused) + len(p.EndedIncarnations) + len(p.ClosingIncarnations) + len(p.OpenStarts)
-	return events == 0 && !p.Partial && !p.Unresponsive && p.FailingMillis == 0 && p.RefusedFence == 0 && p.NoStartsMillis == 0
+	failing := p.Unresponsive || p.FailingMillis != 0 || p.RefusedFence != 0 || p.NoStartsMillis != 0
+	return events == 0 && !failing && !p.Partial
 }
--- a/jobs/runner/poll.go
+++ b/jobs/runner/poll.go
@@ -109,13 +109,19 @@
 	if !p.Complete {
 		return p, r.generation
 	}
+	r.describe(&p, now)
+	return r.shorten(p), r.generation
+}
+
+// describe adds the runs, ends and refusals of the present incarnation to a poll. The lock must be
+// held.
+func (r *Runner) describe(p *assignment.Poll, now time.Time) {
 	p.Partial = r.present.partial()
 	p.Runs = r.present.runs.report(now)
 	p.Ends = r.present.ends.list()
 	for _, refused := range r.present.refusals {
 		p.Refused = append(p.Refused, refused.Refusal)
 	}
-	return r.shorten(p), r.generation
 }
 
 // described reports whether polls describe the worker: it has listed its runs under the newest
--- a/jobs/runner/session.go
+++ b/jobs/runner/session.go
@@ -3,9 +3,9 @@
 import "yarrowgrade.example/yarrowgrade/jobs/assignment"
 
 // A start may have to wait at the agent, for example until the worker answers again. It belongs to
-// the session in which it was ordered, and is withdrawn once that has ended: the next leader does
-// not know of it, and may have cancelled its job. This file implements sessions and the withdrawal of
-// starts.
+// the session in which it was ordered, and is withdrawn once that session has ended, because the next
+// leader does not know of it, and its job may have been cancelled. This file implements sessions and
+// the withdrawal of starts.
 
 // leaderSession identifies the session of a leader with this agent: the leader's term and the fence
 // that it has given to the agent. Starts belong to the session in which they were ordered.
@@ -39,10 +39,10 @@
 	signal(r.report)
 }
 
-// dropWithdrawn drops the runs whose starts were withdrawn and that the worker does not list, if it
-// has listed everything under a given fence. It refuses any attempt with a lower fence that has not
-// arrived yet, so these runs never start, unless they are ordered again. dropWithdrawn reports
-// whether there were any.
+// dropWithdrawn drops the runs whose starts were withdrawn and that are missing from a list that
+// shows everything and was made under a given fence. The worker refuses any attempt with a lower
+// fence that arrives after that, so these runs start only if they are ordered again. dropWithdrawn
+// reports whether there were any.
 func (t *runTable) dropWithdrawn(fence int64) (dropped bool) {
 	for id, k := range t.known {
 		if k.withdrawn && !k.running && !k.stopping && k.fence < fence {
