--- a/jobs/jobtest/partial_lists_test.go
+++ b/jobs/jobtest/partial_lists_test.go
@@ -85,6 +85,11 @@
 	for _, seed := range consecutiveSeeds((*seeds + 2) / 3) {
 		opts := systemOptions{sameID: sameIDShare, listedEnds: 1 + int((seed-1)%maxListedEnds)}
 		simulateSeeds(t, []uint64{seed}, opts, func(s *system, seed uint64) {
+			s.t.Cleanup(func() {
+				if s.workers.ListsOmittingEnds == 0 {
+					s.t.Error("no list omitted ends: the simulation is inconclusive")
+				}
+			})
 			time.Sleep(3 * time.Second)
 			r := rand.New(rand.NewPCG(seed, 29))
 			for range 3 {
--- a/jobs/jobtest/takeover_cancel_test.go
+++ b/jobs/jobtest/takeover_cancel_test.go
@@ -13,8 +13,9 @@
 )
 
 // cancelAcknowledged cancels a job at an entry, and records the acknowledgement. From CancelBound
-// later on, the workers report every start of its tasks as a violation.
-func (s *system) cancelAcknowledged(in *process, j *job.Job) {
+// later on, the workers report every start of its tasks as a violation. It returns false if the
+// cancel was not acknowledged.
+func (s *system) cancelAcknowledged(in *process, j *job.Job) bool {
 	ctx, done := context.WithTimeout(s.ctx, 3*time.Second)
 	defer done()
 	a, err := in.admission.Admit(host, fmt.Sprintf("/q%d/%s", j.Priority, j.ID), "key")
@@ -25,6 +26,7 @@
 	if err == nil {
 		s.workers.Cancel(j.ID)
 	}
+	return err == nil
 }
 
 // otherThan returns an entry other than the given one.
@@ -56,7 +58,9 @@
 				time.Sleep(500 * time.Millisecond)
 				s.killLeader(time.Second)
 				time.Sleep(300 * time.Millisecond)
-				s.cancelAcknowledged(s.otherThan(former), j)
+				if !s.cancelAcknowledged(s.otherThan(former), j) {
+					t.Fatal("the cancel was not acknowledged")
+				}
 				time.Sleep(3300 * time.Millisecond)
 				if frozen {
 					next := "http://" + s.leader().name
@@ -91,6 +95,7 @@
 // cancels most of the jobs, several times in a row. Jobs that are not cancelled must end.
 func (s *system) simulateTakeovers(r *rand.Rand) {
 	milliseconds := func(from, to int) time.Duration { return time.Duration(from+r.IntN(to-from)) * time.Millisecond }
+	acknowledged := 0
 	for range 5 {
 		s.workers.SetWork(milliseconds(500, 6000))
 		for _, w := range s.worker[r.IntN(workerCount):] {
@@ -108,8 +113,8 @@
 		s.replaceLeader(r)
 		time.Sleep(milliseconds(0, 1500))
 		for _, j := range jobs {
-			if r.IntN(4) > 0 {
-				s.cancelAcknowledged(s.entries[r.IntN(entryCount)], j)
+			if r.IntN(4) > 0 && s.cancelAcknowledged(s.entries[r.IntN(entryCount)], j) {
+				acknowledged++
 			}
 		}
 		time.Sleep(milliseconds(1000, 4000))
@@ -118,6 +123,9 @@
 	}
 	time.Sleep(30 * time.Second)
 	s.check()
+	if acknowledged < 3 {
+		s.t.Errorf("only %d cancels were acknowledged: the simulation is inconclusive", acknowledged)
+	}
 }
 
 // failCalls makes a worker break off all calls, answer that it is unavailable, or execute calls
