--- a/review/_cases2/cases.go
+++ b/review/_cases2/cases.go
@@ -56,9 +56,9 @@
 }
 
 // urgentBurst plays urgent jobs of many tasks, which come at once while a batch is running. The tasks of
-// a short job end meanwhile.
+// a short job end meanwhile, one after the other.
 func urgentBurst(t *trace, trouble bool) (string, error) {
-	const urgentJobs, shortTasks, shortTime = 5, 200, 6 * time.Second
+	const urgentJobs, shortTasks, shortTime = 5, 200, 3 * time.Second
 	c, err := newCluster(t, 3, []int{3, 1}, largeWorker, queues(3)...)
 	defer c.close()
 	if err != nil {
@@ -67,7 +67,9 @@
 	short := jobID(10)
 	c.world.plan = func(_ *worker, task string, _ int) (time.Duration, string) {
 		if strings.HasPrefix(task, short) {
-			return shortTime, "done"
+			// They end one after the other.
+			index := int64Of(task[strings.LastIndex(task, ".")+1:])
+			return shortTime + time.Duration(index)*100*time.Millisecond, "done"
 		}
 		return lasts, "done"
 	}
@@ -75,7 +77,7 @@
 		return "", err
 	}
 	for i := range 4 {
-		c.submit(i%3, ordinary, jobID(i), oneStep(stepDocument{Count: mostTasks / 4, CPU: 200, MemMB: 100, EstimateMs: 90000}))
+		c.submit(i%3, urgent, jobID(i), oneStep(stepDocument{Count: mostTasks / 4, CPU: 200, MemMB: 100, EstimateMs: 90000}))
 		time.Sleep(500 * time.Millisecond)
 	}
 	time.Sleep(2 * time.Second)
@@ -134,7 +136,7 @@
 // lostWorker plays a gang that is faster within one rack, after a worker of the only rack of its size
 // is lost for good.
 func lostWorker(t *trace, trouble bool) (string, error) {
-	c, err := newCluster(t, 3, []int{3, 2, 2, 2}, smallWorker, queues(3)...)
+	c, err := newCluster(t, 3, []int{3, 2, 2, 2}, largeWorker, queues(3)...)
 	defer c.close()
 	if err != nil {
 		return "", err
@@ -326,7 +328,7 @@
 // lastingJob plays a job that lasts, whose worker crashes three times.
 func lastingJob(t *trace, trouble bool) (string, error) {
 	const crashes, away = 3, 4500 * time.Millisecond
-	c, err := newCluster(t, 3, []int{3, 1}, smallWorker, queues(3)...)
+	c, err := newCluster(t, 3, []int{3, 3, 1}, largeWorker, queues(3)...)
 	defer c.close()
 	if err != nil {
 		return "", err
