Review: case 13 is another one, RECLAIM, a guaranteed gang that prefers a rack

Cause: a gang that prefers one rack looks for work to stop within single racks only, and its limited wait for a rack doesn't begin while room elsewhere would have to be freed.

Change: the case with its claim and its script takes the place of the former one. Nothing is fixed.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 case_folder=$(cd "$(dirname "$0")" && pwd)
 cd "$case_folder/../.." || exit 2
 [ -x target/yarrowgraded ] && [ -x target/review-3/cases ] || exit 2
-exec target/review-3/cases crashes "$case_folder/record.txt"
+exec target/review-3/cases reclaim-rack "$case_folder/record.txt"
